--- /dev/null
+++ b/comb/cell.cpp
@@ -0,0 +1,851 @@
+#include "comb/cell.hpp"
+
+#include <algorithm>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+namespace {
+
+constexpr auto frame_bytes = std::size_t{256} << 10;
+constexpr auto rows_kept = std::size_t{1024};
+constexpr auto cut_by = 0.03;      // the slow loop moves the share by a few percent (paper 3.2)
+constexpr auto least_share = 0.05;
+
+auto heft(const tree& e) -> std::size_t {
+  const auto& b = sub(e, "b");
+  return 64 + (b.is_string() ? b.get_string().size() : 0);
+}
+
+}  // namespace
+
+cell::cell(ground gg, std::string i)
+    : id(std::move(i)), g(std::move(gg)), h(g.h), disk(*h.disk()), home(h) {
+  home.on_fault = [this](std::exception_ptr e) {
+    try {
+      std::rethrow_exception(e);
+    } catch (const std::exception& x) {
+      hive::log(grade::grave, g.set.name, id + ": task ended: " + x.what());
+      spill("a cell's task ended");
+      halt("a task of it ended");
+      broken = true;
+    }
+  };
+  born_at = h.now();
+  try {
+    load();
+  } catch (const std::exception& e) {
+    // Torn or altered bytes: never served; the pair makes this copy anew (design 6.8).
+    hive::log(grade::grave, g.set.name, id + ": own copy is damaged: " + e.what());
+    spill("a damaged copy of " + id);
+    wipe();
+    broken = true;
+  }
+  home.spawn(watch());
+  home.spawn(settle());
+  home.spawn(replay());
+}
+
+auto cell::key(std::int64_t i) const -> std::string {
+  char buf[24];
+  std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(i));
+  return "C/" + id + "/e/" + buf;
+}
+
+auto cell::epoch_at(std::int64_t i) const -> std::int64_t {
+  if (i == base) return base_epoch;
+  if (i < base || i > last()) return -1;
+  return log[static_cast<std::size_t>(i - base - 1)].epoch;
+}
+
+auto cell::load() -> void {
+  if (auto s = disk.get("C/" + id + "/s")) {
+    auto t = unseal(*s);
+    if (num(t, "format") != 1) throw bad_bytes("format is not 1");
+    base = num(t, "idx");
+    base_epoch = num(t, "epoch");
+    state = hoard::restore(sub(t, "state"));
+  }
+  shelf = base;
+  auto at = base;
+  disk.scan("C/" + id + "/e/", [&](const std::string& k, const std::string& v) {
+    auto i = static_cast<std::int64_t>(std::stoull(k.substr(k.rfind('/') + 1), nullptr, 16));
+    if (i <= base) return;
+    if (i != ++at) throw bad_bytes("entry " + std::to_string(at) + " is missing");
+    auto t = unseal(v);
+    log.push_back({num(t, "v"), yes(t, "g"), sub(t, "e"), 0});
+  });
+  applied = base;
+  solid = last();
+}
+
+auto cell::wipe() -> void {
+  auto keys = std::vector<std::string>();
+  try {
+    disk.scan("C/" + id + "/", [&](const std::string& k, const std::string&) { keys.push_back(k); });
+  } catch (const bad_bytes&) {
+  }
+  for (auto& k : keys) disk.cut(k);
+  for (auto i = shelf + 1; i <= last(); ++i) disk.cut(key(i));  // put, perhaps not yet synced
+  log.clear();
+  state = hoard();
+  base = base_epoch = applied = solid = shelf = 0;
+}
+
+auto cell::push(entry e) -> std::int64_t {
+  auto i = last() + 1;
+  disk.put(key(i), seal(branch{{"v", e.epoch}, {"g", e.go}, {"e", e.e}}));
+  if (str(e.e, "k") != "c") urgent = true;
+  log.push_back(std::move(e));
+  dirty.wake();
+  return i;
+}
+
+auto cell::save() -> void {
+  if (log.size() < rows_kept * 2) return;
+  disk.put("C/" + id + "/s", seal(branch{{"format", 1}, {"idx", applied}, {"epoch", epoch_at(applied)}, {"state", state.capture()}}));
+  for (auto i = shelf + 1; i <= applied; ++i) disk.cut(key(i));
+  shelf = applied;
+  while (log.size() > rows_kept && base < applied) {
+    base_epoch = log.front().epoch;
+    log.pop_front();
+    ++base;
+  }
+}
+
+// One operation of the primary. Its entries are applied as they are logged;
+// what they make it say waits until the last of them is safe (paper 2.2, 2.4).
+auto cell::operate(std::vector<tree> ops) -> void {
+  auto row_outs = std::vector<output>();
+  auto idx = std::int64_t{0};
+  for (auto i = std::size_t{0}; i < ops.size(); ++i) {
+    idx = push({row.epoch, i + 1 == ops.size(), ops[i], h.now()});
+    auto o = state.apply(idx, ops[i]);
+    applied = idx;
+    for (auto& one : o) row_outs.push_back(std::move(one));
+  }
+  for (auto& o : row_outs) outs.push_back({idx, std::move(o), nullptr, {}});
+  grown.wake();
+  save();
+}
+
+auto cell::clock_entry() -> std::vector<tree> {
+  auto ms = (h.now() - clock_at) / msec;
+  if (ms < g.set.beat / msec / 2) return {};
+  clock_at += ms * msec;
+  return {branch{{"k", "c"}, {"d", ms}}};
+}
+
+auto cell::law_entry() -> std::optional<tree> {
+  const auto& law = g.ses.known.law;
+  if (!law || law->number <= state.law) return {};
+  auto it = law->spaces.find(id.substr(0, id.find('/')));
+  auto keep = it == law->spaces.end() ? state.keep : it->second.keep_s * 1000;
+  return branch{{"k", "l"}, {"keep", keep}, {"resend", g.set.resend / msec}, {"n", law->number}};
+}
+
+// The Output Rule: nothing above this index may leave (paper 2.2). A kept
+// cell also wants its own and its pair's disk to have it; alone it says nothing.
+auto cell::safe() const -> std::int64_t {
+  auto out = solid;
+  if (row.back.empty() && kept()) return -1;
+  auto count = [&](const std::string& m) {
+    auto it = mates.find(m);
+    out = std::min(out, it == mates.end() ? -1 : it->second.got);
+  };
+  if (!row.back.empty()) count(row.back);
+  for (const auto& m : proving) count(m);
+  return out;
+}
+
+auto cell::release() -> void {
+  if (role != part::prim) return;
+  auto upto = safe();
+  while (!outs.empty() && outs.front().idx <= upto) {
+    auto p = std::move(outs.front());
+    outs.pop_front();
+    dispatch(p);
+  }
+}
+
+auto cell::dispatch(pending& p) -> void {
+  if (p.to) {
+    p.to->out = std::move(p.reply);
+    p.to->done.wake();
+    return;
+  }
+  auto& o = p.out;
+  if (o.what == output::kind::accepted) {
+    auto it = waits.find({o.ids[0], {o.topic, o.msg.seq}});
+    if (it == waits.end()) return;
+    for (auto& s : it->second) {
+      s->out = branch{{"pos", o.pos}};
+      s->done.wake();
+    }
+    waits.erase(it);
+  } else if (o.what == output::kind::deliver) {
+    auto by = std::vector<std::pair<wire_ptr, twigs>>();
+    for (const auto& i : o.ids) {
+      auto it = wires.find(i);
+      if (it == wires.end()) continue;
+      auto at = std::find_if(by.begin(), by.end(), [&](auto& b) { return b.first == it->second; });
+      if (at == by.end()) at = by.insert(by.end(), {it->second, {}});
+      at->second.emplace_back(i);
+    }
+    for (auto& [w, ids] : by) {
+      if (w->owed() > static_cast<std::size_t>(g.set.buffer)) {
+        w->drop();  // it comes back and resumes by position
+        continue;
+      }
+      w->tell(branch{{"op", "got"}, {"i", ids}, {"t", o.topic}, {"pos", o.pos}, {"d", o.msg.from}, {"s", o.msg.seq}, {"b", o.msg.body}, {"w", o.msg.wall}});
+    }
+  } else if (o.what == output::kind::opened || o.what == output::kind::gone) {
+    auto it = wires.find(o.ids[0]);
+    if (it == wires.end()) return;
+    it->second->tell(branch{{"op", "subbed"}, {"i", o.ids[0]}, {"ok", o.what == output::kind::opened}, {"pos", o.pos}, {"code", o.what == output::kind::gone ? "gone" : "ok"}});
+    if (o.what == output::kind::gone) wires.erase(it);
+  }
+}
+
+// The gradual slowing's pace: how many publishes this share lets in now.
+auto cell::pace() -> void {
+  auto now = h.now();
+  if (now - window >= sec) {
+    peak = std::max<double>(share >= 1 ? 0 : peak, static_cast<double>(in_window));
+    in_window = 0;
+    window = now;
+  }
+  auto rate = share * std::max(peak, 1.0);
+  tokens = std::min(tokens + rate * static_cast<double>(now - paced) / sec, std::max(rate / 4, 1.0));
+  paced = now;
+}
+
+auto cell::publish(const tree& t, slot_ptr s) -> void {
+  auto refuse = [&](verdict v) {
+    s->bad = std::move(v);
+    s->done.wake();
+  };
+  if (role != part::prim) return refuse({"not_here", id + " is not led here", ran::no, g.set.beat / msec});
+  auto who = str(t, "d"), topic = str(t, "t"), body = str(t, "b");
+  auto seq = num(t, "s");
+  auto k = std::pair(who, std::pair(topic, seq));
+  switch (state.weigh(who, topic, seq)) {
+    case standing::below:
+      return refuse({"below", "a higher sequence number was accepted already", ran::no});
+    case standing::repeat:
+      if (auto it = waits.find(k); it != waits.end()) it->second.push_back(s);
+      else if (applied > safe() && kept() && (row.back.empty() || !in_touch(row.back)))
+        refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, g.set.lose / msec / 2});
+      else {
+        outs.push_back({applied, {}, s, branch{{"repeat", true}}});
+        release();
+      }
+      return;
+    case standing::fresh: break;
+  }
+  auto again = g.set.lose / msec / 2;
+  if (handing) return refuse({"moving", id + " is changing hands", ran::no, g.set.beat / msec});
+  if (kept() && (row.back.empty() || !in_touch(row.back))) return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
+  // The buffer towards the backup is full: the primary stops (paper 3.2).
+  if (auto it = mates.find(row.back); it != mates.end()) {
+    auto bytes = std::size_t{0};
+    auto from = std::max(it->second.done, base);
+    for (auto i = from + 1; i <= last() && bytes <= static_cast<std::size_t>(g.set.buffer); ++i)
+      bytes += heft(log[static_cast<std::size_t>(i - base - 1)].e);
+    if (bytes > static_cast<std::size_t>(g.set.buffer)) {
+      ++stops;
+      return refuse({"full", "the log buffer is full", ran::no, g.set.lag / msec});
+    }
+  }
+  pace();
+  if (share < 1) {
+    if (tokens < 1) {
+      ++slowed;
+      return refuse({"slow", "the backup lags; admission is slowed", ran::no, g.set.beat / msec});
+    }
+    tokens -= 1;
+  }
+  ++in_window;
+  ++admitted;
+  waits[k].push_back(s);
+  auto ops = clock_entry();
+  ops.push_back(branch{{"k", "p"}, {"t", topic}, {"d", who}, {"s", seq}, {"b", body}, {"w", h.wall()}});
+  operate(std::move(ops));
+}
+
+auto cell::subscribe(const tree& t, const wire_ptr& w) -> void {
+  auto sid = str(t, "i");
+  if (role != part::prim || handing) {
+    w->tell(branch{{"op", "subbed"}, {"i", sid}, {"ok", false}, {"code", "not_here"}, {"pos", 0}});
+    return;
+  }
+  if (num(t, "a") > applied) {
+    w->tell(branch{{"op", "subbed"}, {"i", sid}, {"ok", false}, {"code", "ahead"}, {"pos", applied}});
+    return;
+  }
+  wires[sid] = w;
+  lonely.erase(sid);
+  operate({branch{{"k", "s"}, {"i", sid}, {"t", str(t, "t")}, {"d", str(t, "d")}, {"a", num(t, "a")}}});
+}
+
+auto cell::finish(const std::string& sid) -> void {
+  wires.erase(sid);
+  lonely.erase(sid);
+  if (role == part::prim && !handing && state.open.count(sid)) operate({branch{{"k", "e"}, {"i", sid}}});
+}
+
+auto cell::read(const tree& t, slot_ptr s) -> void {
+  if (role != part::prim) {
+    s->bad = verdict("not_here", id + " is not led here", ran::no, g.set.beat / msec);
+    s->done.wake();
+    return;
+  }
+  auto rows = twigs();
+  auto after = num(t, "a");
+  auto it = state.topics.find(str(t, "t"));
+  auto gone = it != state.topics.end() && after < it->second.floor;
+  if (it != state.topics.end())
+    for (const auto& m : it->second.kept)
+      if (m.pos > after && rows.size() < 1000) rows.push_back(branch{{"pos", m.pos}, {"from", m.from}, {"seq", m.seq}, {"body", m.body}, {"at", m.wall}});
+  auto out = branch{{"rows", rows}, {"expired", gone}, {"pos", applied}};
+  outs.push_back({applied, {}, s, out});
+  release();
+}
+
+auto cell::lost(const wire_ptr& w) -> void {
+  for (auto it = wires.begin(); it != wires.end();) {
+    if (it->second == w) {
+      lonely[it->first] = h.now();
+      it = wires.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+// Flushes to the own disk, grouped; entries that only tell the time may wait a beat.
+auto cell::settle() -> task<void> {
+  while (true) {
+    while (solid >= last()) co_await dirty.wait(h);
+    auto end = h.now() + g.set.beat;
+    while (!urgent && h.now() < end) co_await dirty.wait(h, end);
+    urgent = false;
+    auto upto = last();
+    auto top = epoch_at(upto);
+    try {
+      co_await disk.sync();
+    } catch (const verdict& v) {
+      broken = true;
+      halt(std::string("disk: ") + v.what());
+      spill("the disk of " + g.set.name + " fails");
+      co_return;
+    }
+    if (upto <= last() && epoch_at(upto) == top) solid = std::max(solid, upto);
+    if (role == part::prim) release();
+    else if (role == part::back) ack(false);
+  }
+}
+
+// ---- the backup's side ----
+
+auto cell::on_join(tree t) -> task<tree> {
+  auto e = num(t, "epoch");
+  if (e < row.epoch || e < lord_epoch) throw verdict("old", id + " has moved on", ran::no, -1, row.to_tree());
+  if (role == part::prim) {
+    if (e == row.epoch) throw verdict("old", "two primaries at one epoch", ran::no);
+    halt("a newer primary joins");
+  }
+  lord = str(t, "from");
+  lord_epoch = e;
+  heard = h.now();
+  if (role != part::back) back_at = h.now();
+  role = part::back;
+  co_await disk.sync();
+  solid = last();
+  co_return branch{{"last", last()}, {"epoch", epoch_at(last())}, {"broken", broken}};
+}
+
+auto cell::on_copy(tree t) -> task<tree> {
+  if (num(t, "epoch") != lord_epoch || str(t, "from") != lord || role != part::back) throw verdict("old", "another primary is followed");
+  heard = h.now();
+  if (num(t, "part") == 0) copy_part.clear();
+  copy_part += str(t, "bytes");
+  if (!yes(t, "end")) co_return branch{{"ok", true}};
+  auto text = std::string();
+  for (auto i = std::size_t{0}; i + 1 < copy_part.size(); i += 2) {
+    auto nib = [](char c) { return c <= '9' ? c - '0' : c - 'a' + 10; };
+    text += static_cast<char>(nib(copy_part[i]) * 16 + nib(copy_part[i + 1]));
+  }
+  copy_part.clear();
+  auto s = unseal(text);
+  wipe();
+  base = shelf = applied = num(s, "idx");
+  base_epoch = num(s, "epoch");
+  state = hoard::restore(sub(s, "state"));
+  disk.put("C/" + id + "/s", seal(s));
+  auto mine = lord_epoch;
+  co_await disk.sync();
+  if (lord_epoch != mine || role != part::back) throw verdict("old", "another primary is followed");
+  broken = false;
+  solid = std::max(solid, base);
+  co_return branch{{"ok", true}};
+}
+
+auto cell::on_log(const wire_ptr& w, const tree& t) -> void {
+  if (role != part::back || num(t, "epoch") != lord_epoch || str(t, "from") != lord) {
+    // A lower epoch is refused: a thawed primary gets no ack and sends nothing.
+    w->tell(branch{{"op", "c.ack"}, {"cell", id}, {"me", me()}, {"epoch", num(t, "epoch")}, {"nack", true}, {"got", -1}, {"done", -1}});
+    return;
+  }
+  lord_wire = w;
+  heard = h.now();
+  auto prev = num(t, "prev");
+  if (prev > last() || epoch_at(prev) != num(t, "prev_epoch")) {
+    if (prev >= base) return ack(true);
+  }
+  auto i = prev;
+  auto any = false;
+  for (const auto& r : list(t, "rows")) {
+    ++i;
+    if (i <= last()) continue;
+    push({num(r, "v"), yes(r, "g"), sub(r, "e"), h.now()});
+    any = true;
+  }
+  if (any) rows_in.wake();
+  else ack(false);
+}
+
+auto cell::ack(bool nack) -> void {
+  if (!lord_wire) return;
+  lord_wire->tell(branch{{"op", "c.ack"}, {"cell", id}, {"me", me()}, {"epoch", lord_epoch}, {"nack", nack}, {"got", solid}, {"done", applied}});
+}
+
+// Consumes the buffer up to its last go-live point, then stalls (paper 2.4, 3.2).
+auto cell::replay() -> task<void> {
+  while (true) {
+    auto upto = applied;
+    for (auto i = last(); i > applied && upto == applied; --i)
+      if (i > base && log[static_cast<std::size_t>(i - base - 1)].go) upto = i;
+    if (role == part::prim || upto <= applied) {
+      co_await rows_in.wait(h);
+      continue;
+    }
+    while (applied < upto && role != part::prim && applied >= base && applied < last()) {
+      if (g.set.drag > 0) co_await rest(h, g.set.drag);
+      if (role == part::prim || applied < base || applied >= last()) break;
+      auto i = applied + 1;
+      state.apply(i, log[static_cast<std::size_t>(i - base - 1)].e);  // outputs are dropped
+      applied = i;
+    }
+    if (role == part::back) save();
+    co_await nap(h, 0);
+  }
+}
+
+// ---- the primary's side ----
+
+auto cell::in_touch(const std::string& m) const -> bool {
+  auto it = mates.find(m);
+  return it != mates.end() && it->second.joined && h.now() - it->second.heard <= g.set.lose;
+}
+
+auto cell::start_feed(const std::string& m) -> void {
+  if (m.empty() || mates.count(m)) return;
+  mates[m].heard = h.now();
+  home.spawn(feed(m, stint));
+}
+
+// The logging channel to one copy: compare logs, copy the running state if
+// they part, then stream; straight down, again after every break.
+auto cell::feed(std::string m, std::int64_t mine) -> task<void> {
+  auto on = [&] { return role == part::prim && stint == mine && mates.count(m) > 0; };
+  while (on()) {
+    const auto* s = g.ses.known.find(name_of(m));
+    auto addr = s && s->member() == m ? s->addr : "";
+    if (addr.empty()) {
+      co_await rest(h, g.set.beat);
+      continue;
+    }
+    auto& c = g.reach(addr);
+    auto moved = false;
+    try {
+      auto q = tree(branch{{"op", "c.join"}, {"cell", id}, {"epoch", row.epoch}, {"from", me()}, {"last", last()}});
+      auto r = co_await c.ask(std::move(q), h.now() + g.set.lose);
+      if (!on()) break;
+      auto theirs = num(r, "last");
+      auto match = !yes(r, "broken") && theirs >= base && theirs <= last() && epoch_at(theirs) == num(r, "epoch");
+      if (!match) {
+        // The state is captured between two operations; the cell goes on meanwhile (paper 3.1).
+        auto idx = applied;
+        auto bytes = seal(branch{{"format", 1}, {"idx", idx}, {"epoch", epoch_at(idx)}, {"state", state.capture()}});
+        auto hex = std::string();
+        for (auto ch : bytes) {
+          hex += "0123456789abcdef"[static_cast<unsigned char>(ch) >> 4];
+          hex += "0123456789abcdef"[static_cast<unsigned char>(ch) & 15];
+        }
+        auto e = row.epoch;
+        for (auto at = std::size_t{0}, part = std::size_t{0}; at < hex.size() || part == 0; ++part) {
+          auto bit = hex.substr(at, frame_bytes);
+          at += bit.size();
+          auto p = tree(branch{{"op", "c.copy"}, {"cell", id}, {"epoch", e}, {"from", me()}, {"part", part}, {"bytes", bit}, {"end", at >= hex.size()}});
+          co_await c.ask(std::move(p), h.now() + g.set.lose);
+          if (!on()) co_return;
+          mates[m].heard = h.now();
+        }
+        theirs = idx;
+        ++mates[m].copies;
+        hive::log(grade::note, g.set.name, id + ": copied to " + m + " at " + std::to_string(idx));
+      }
+      {
+        auto& k = mates[m];
+        k.next = theirs + 1;
+        k.got = k.done = theirs;
+        k.joined = true;
+        k.nacked = false;
+        k.heard = h.now();
+      }
+      release();
+      auto e = row.epoch;
+      while (on() && c.up() && !mates[m].nacked && h.now() - mates[m].heard <= g.set.lose && row.epoch == e) {
+        auto& k = mates[m];
+        if (k.next <= base) break;  // trimmed away: copy again
+        auto rows = twigs();
+        auto size = std::size_t{0};
+        auto prev = k.next - 1;
+        auto held = c.line && c.line->owed() > frame_bytes * 4;
+        while (!held && k.next <= last() && size < frame_bytes) {
+          const auto& en = log[static_cast<std::size_t>(k.next - base - 1)];
+          size += heft(en.e);
+          rows.push_back(branch{{"v", en.epoch}, {"g", en.go}, {"e", en.e}});
+          ++k.next;
+        }
+        c.tell(branch{{"op", "c.log"}, {"cell", id}, {"epoch", e}, {"from", me()}, {"prev", prev}, {"prev_epoch", epoch_at(prev)}, {"rows", std::move(rows)}});
+        if (k.next > last() || held) co_await grown.wait(h, h.now() + g.set.beat);
+        else co_await nap(h, 0);
+      }
+      moved = on() && c.up() && !mates[m].nacked && row.epoch != e;
+    } catch (const verdict& v) {
+      if (v.code == "old" && on() && num_or(v.more, "epoch", 0) > row.epoch) halt("its copy follows a newer epoch");
+    }
+    if (!on()) break;
+    if (moved) continue;  // only the epoch went up: join again at once
+    mates[m].joined = false;
+    co_await rest(h, g.set.beat);
+  }
+}
+
+auto cell::on_ack(const std::string& m, const tree& t) -> void {
+  auto it = mates.find(m);
+  if (role != part::prim || it == mates.end() || num(t, "epoch") != row.epoch) return;
+  if (yes(t, "nack")) {
+    it->second.nacked = true;
+    grown.wake();
+    return;
+  }
+  if (!it->second.joined) return;
+  it->second.heard = h.now();
+  it->second.got = std::max(it->second.got, num(t, "got"));
+  it->second.done = std::max(it->second.done, num(t, "done"));
+  release();
+}
+
+auto cell::propose(cell_row next, std::string why) -> task<bool> {
+  auto d = next.to_tree();
+  d.as_object()["k"] = "cell";
+  d.as_object()["id"] = id;
+  d.as_object()["epoch"] = row.epoch;
+  d.as_object()["why"] = why;
+  auto r = co_await g.ses.propose(std::move(d), h.now() + g.set.lose);
+  auto got = cell_row::from_tree(sub(r, "row"));
+  if (yes(r, "ok")) {
+    auto mine = got.prim == me();
+    if (got.epoch > row.epoch) row = got;
+    co_return mine || got.prim == next.prim;
+  }
+  meet(got);
+  co_return false;
+}
+
+// The ledger's word. Who lost a claim halts and takes the part it is given.
+auto cell::meet(const cell_row& r) -> void {
+  if (r.epoch <= row.epoch) return;
+  auto was = row;
+  row = r;
+  if (role == part::prim && r.prim != me()) halt("epoch " + std::to_string(r.epoch) + " is led by " + r.prim);
+  if (role == part::prim && r.prim == me()) {
+    hive::log(grade::note, g.set.name, id + ": own move found in the ledger");
+    stir.wake();
+    return;
+  }
+  if (r.prim != me() && (r.back == me() || r.in_step(me())) && role != part::back) {
+    role = part::back;
+    back_at = heard = h.now();
+    rows_in.wake();
+  }
+  if (!r.holds(me()) && role == part::back && lord_epoch < r.epoch) role = part::idle;
+  stir.wake();
+}
+
+auto cell::go_live() -> void {
+  // Full replay of every entry up to the last go-live point; then it is live (paper 2.3).
+  while (last() > base && !log.back().go) {
+    disk.cut(key(last()));
+    log.pop_back();
+  }
+  while (applied < last()) {
+    auto i = applied + 1;
+    state.apply(i, log[static_cast<std::size_t>(i - base - 1)].e);
+    applied = i;
+  }
+  solid = std::min(solid, last());
+  ++stint;
+  role = part::prim;
+  outs.clear();
+  mates.clear();
+  proving.clear();
+  fresh_back.clear();
+  barred.clear();
+  wires.clear();
+  handing = false;
+  share = 1;
+  clock_at = paced = window = h.now();
+  for (const auto& [sid, l] : state.open) lonely[sid] = h.now();
+  hive::log(grade::note, g.set.name, id + ": live at epoch " + std::to_string(row.epoch) + ", entry " + std::to_string(last()));
+  auto ops = std::vector<tree>{branch{{"k", "v"}, {"e", row.epoch}, {"m", me()}}};
+  if (auto l = law_entry()) ops.push_back(*l);
+  operate(std::move(ops));
+  start_feed(row.back);
+}
+
+auto cell::give_up(const std::string& why) -> void {
+  auto v = verdict("unclear", why, ran::maybe, g.set.lose / msec / 2);
+  for (auto& [k, row_] : waits)
+    for (auto& s : row_) {
+      s->bad = v;
+      s->done.wake();
+    }
+  waits.clear();
+  for (auto& p : outs)
+    if (p.to) {
+      p.to->bad = v;
+      p.to->done.wake();
+      p.to.reset();
+      p.out.what = output::kind::accepted;
+      p.out.ids = {""};
+    }
+}
+
+auto cell::halt(const std::string& why) -> void {
+  if (role != part::prim) return;
+  hive::log(grade::warn, g.set.name, id + ": halts: " + why);
+  role = part::idle;
+  ++stint;
+  give_up("the cell is led elsewhere now");
+  outs.clear();
+  mates.clear();
+  proving.clear();
+  auto told = std::set<wire_ptr>();
+  for (auto& [sid, w] : wires)
+    if (told.insert(w).second) w->tell(branch{{"op", "moved"}, {"cell", id}});
+  wires.clear();
+  lonely.clear();
+  grown.wake();
+  if (row.prim != me() && row.holds(me())) {
+    role = part::back;
+    back_at = heard = h.now();
+    rows_in.wake();
+  }
+}
+
+auto cell::claim(std::string why) -> task<void> {
+  auto next = row;
+  next.prim = me();
+  next.back.clear();
+  for (const auto& m : row.step)
+    if (m != me()) next.back = m;
+  // A kept cell's in-step set stays: only one that has all may ever claim.
+  // Where nothing is kept, the lone winner goes on alone, as in the paper.
+  auto silent = row.prim != me() || next.back.empty();
+  if (!kept() && silent) {
+    next.back.clear();
+    next.step = {me()};
+  }
+  hive::log(grade::note, g.set.name, id + ": claims epoch " + std::to_string(row.epoch + 1) + ": " + why);
+  try {
+    auto won = co_await propose(next, why);
+    if (won && row.prim == me()) {
+      go_live();
+      spill(id + " taken over: " + why);
+    }
+  } catch (const verdict& v) {
+    hive::log(grade::note, g.set.name, id + ": claim waits: " + v.what());
+  }
+}
+
+// What a primary owes its pair: feeding it, replacing it, handing over.
+auto cell::tend() -> task<void> {
+  auto law_step = law_entry();
+  if (!handing && (law_step || h.now() - clock_at >= g.set.lose / 4)) {
+    auto ops = clock_entry();
+    if (law_step) ops.push_back(*law_step);
+    if (!ops.empty()) operate(std::move(ops));
+  }
+  // A move whose answer was lost, but which the ledger has taken.
+  if (!fresh_back.empty() && row.back == fresh_back) {
+    fresh_back.clear();
+    barred.clear();
+  }
+  if (fresh_back.empty()) proving.clear();
+  for (auto it = mates.begin(); it != mates.end();)
+    it = it->first != row.back && it->first != fresh_back ? mates.erase(it) : std::next(it);
+  auto drop = std::vector<std::string>();
+  for (auto& [sid, at] : lonely)
+    if (h.now() - at > g.set.resend) drop.push_back(sid);
+  for (auto& sid : drop) finish(sid);
+  start_feed(row.back);
+
+  // Gradual slowing by the real-time lag of replay.
+  auto back = mates.find(row.back);
+  if (back != mates.end() && back->second.joined) {
+    auto done = back->second.done;
+    auto lag = done < last() && done >= base ? h.now() - log[static_cast<std::size_t>(done - base)].born : 0;
+    if (g.set.slowing && lag > g.set.lag) {
+      if (share >= 1) pace();
+      share = std::max(least_share, share - cut_by);
+    } else if (share < 1 && lag < g.set.lag / 2) {
+      share = std::min(1.0, share + cut_by);
+    }
+  }
+
+  auto away = [&](const std::string& m) {
+    const auto* s = g.ses.known.find(name_of(m));
+    return g.ses.known.leavings.count(name_of(m)) > 0 || (s && s->leaving);
+  };
+  auto lost_back = !row.back.empty() && !in_touch(row.back) && h.now() - mates[row.back].heard > g.set.lose;
+  if (lost_back && !waits.empty()) give_up("the second copy is out of reach");
+  if (lost_back && !kept() && row.step.size() > 1) {
+    auto next = row;
+    next.back.clear();
+    next.step = {me()};
+    auto old = row.back;
+    auto won = co_await propose(next, "the backup is silent");
+    if (!won || role != part::prim) co_return;
+    mates.erase(old);
+    hive::log(grade::note, g.set.name, id + ": goes on alone");
+    release();
+  }
+  auto want = row.back.empty() || lost_back || away(row.back);
+  if (want && fresh_back.empty()) {
+    auto bar = twigs{name_of(me())};
+    if (!row.back.empty()) bar.emplace_back(name_of(row.back));
+    for (const auto& n : barred) bar.emplace_back(n);
+    auto q = tree(branch{{"op", "draw"}, {"cell", id}, {"zone", g.set.zone}, {"not", bar}});
+    try {
+      auto r = co_await g.ses.ask(std::move(q), h.now() + g.set.budget);
+      if (role != part::prim) co_return;
+      fresh_back = str(r, "member");
+      fresh_since = h.now();
+      mates.erase(fresh_back);
+      start_feed(fresh_back);
+    } catch (const verdict&) {
+      barred.clear();
+      throw;
+    }
+  }
+  if (!want && !fresh_back.empty()) {
+    mates.erase(fresh_back);
+    fresh_back.clear();
+  }
+  if (!fresh_back.empty()) {
+    auto& k = mates[fresh_back];
+    if (in_touch(fresh_back) && k.got >= last() - 256) {
+      auto next = row;
+      auto mine = fresh_back;
+      next.back = mine;
+      next.step = {me(), mine};
+      proving.insert(mine);
+      auto old = row.back;
+      auto won = false;
+      try {
+        won = co_await propose(next, "redundancy restored");
+      } catch (const verdict& v) {
+        if (v.run == ran::no) proving.clear();
+        throw;
+      }
+      proving.clear();
+      if (!won || role != part::prim) co_return;
+      if (old != mine) mates.erase(old);
+      fresh_back.clear();
+      barred.clear();
+      hive::log(grade::note, g.set.name, id + ": pair is " + mine + " now");
+      release();
+    } else if (h.now() - fresh_since > g.set.lose * 4) {
+      barred.insert(name_of(fresh_back));
+      mates.erase(fresh_back);
+      fresh_back.clear();
+    }
+  }
+  // Going: hand over to a pair that has everything.
+  auto going = g.leaving() || g.ses.known.leavings.count(name_of(me())) > 0;
+  if (going && !row.back.empty() && in_touch(row.back) && !away(row.back)) {
+    handing = true;
+    auto end = h.now() + g.set.lose;
+    while (role == part::prim && h.now() < end && (!outs.empty() || mates[row.back].got < last() || solid < last())) {
+      grown.wake();
+      co_await rest(h, g.set.beat / 8);
+    }
+    if (role == part::prim && outs.empty() && mates[row.back].got >= last()) {
+      auto next = row;
+      next.prim = row.back;
+      next.back = me();
+      try {
+        co_await propose(next, "handed over");
+      } catch (const verdict&) {
+      }
+    }
+    if (role == part::prim && row.prim == me()) handing = false;
+    else if (role == part::prim) halt("handed over to " + row.prim);
+  }
+}
+
+// The life of the cell here: follow the ledger, notice silence, claim, tend.
+auto cell::watch() -> task<void> {
+  auto patience = h.spread(g.set.beat);
+  while (true) {
+    auto end = h.now() + g.set.beat;
+    while (h.now() < end) {
+      auto in_time = co_await stir.wait(h, end);
+      if (in_time) break;
+    }
+    if (!g.ses.fresh()) continue;
+    if (auto it = g.ses.known.cells.find(id); it != g.ses.known.cells.end()) meet(it->second);
+    try {
+      if (role == part::prim) {
+        co_await tend();
+      } else if (broken || row.epoch == 0 || g.leaving()) {
+        continue;
+      } else if (row.prim == me()) {
+        co_await claim(row.epoch == 1 ? "first start" : "its primary is back");
+      } else if (row.in_step(me()) && h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience) {
+        co_await claim("its primary is silent");
+        patience = h.spread(g.set.beat);
+      }
+    } catch (const verdict& v) {
+      hive::log(grade::fine, g.set.name, id + ": " + v.what());
+    }
+  }
+}
+
+auto cell::stand() const -> tree {
+  auto ms = branch();
+  for (const auto& [m, k] : mates) {
+    auto lag = k.done >= base && k.done < last() ? (h.now() - log[static_cast<std::size_t>(k.done - base)].born) / msec : 0;
+    ms[m] = branch{{"joined", k.joined}, {"got", k.got}, {"done", k.done}, {"lag_ms", lag}, {"copies", k.copies}};
+  }
+  return branch{{"role", role == part::prim ? "primary" : role == part::back ? "backup" : "idle"}, {"epoch", row.epoch},
+                {"prim", row.prim}, {"back", row.back}, {"last", last()}, {"applied", applied}, {"solid", solid},
+                {"broken", broken}, {"share", share}, {"slowed", slowed}, {"stops", stops}, {"open", state.open.size()},
+                {"topics", state.topics.size()}, {"pending", outs.size()}, {"copies", ms}, {"charter", state.law}};
+}
+
+}  // namespace hive
--- /dev/null
+++ b/comb/cell.hpp
@@ -0,0 +1,142 @@
+// One cell on one comb: its log, its role, its pair (design 6).
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "comb/hoard.hpp"
+#include "scout/session.hpp"
+#include "wax/colleague.hpp"
+#include "wax/config.hpp"
+
+namespace hive {
+
+// What a cell needs of the comb it stands on.
+struct ground {
+  host& h;
+  const config& set;
+  session& ses;
+  std::function<colleague&(const std::string& addr)> reach;
+  std::function<bool()> leaving;  // this comb is going down
+};
+
+class cell {
+ public:
+  struct slot {  // a publish or read that waits for its answer
+    std::optional<tree> out;
+    std::optional<verdict> bad;
+    signal done;
+  };
+  using slot_ptr = std::shared_ptr<slot>;
+
+  cell(ground g, std::string id);
+
+  // Commands, worked by the comb's one owner task.
+  auto publish(const tree& t, slot_ptr s) -> void;
+  auto subscribe(const tree& t, const wire_ptr& w) -> void;
+  auto finish(const std::string& sid) -> void;
+  auto read(const tree& t, slot_ptr s) -> void;
+  auto lost(const wire_ptr& w) -> void;  // a forager's link ended
+
+  // The logging channel.
+  auto on_join(tree t) -> task<tree>;
+  auto on_copy(tree t) -> task<tree>;
+  auto on_log(const wire_ptr& w, const tree& t) -> void;
+  auto on_ack(const std::string& member, const tree& t) -> void;
+
+  [[nodiscard]] auto live() const -> bool { return role == part::prim; }
+  [[nodiscard]] auto stand() const -> tree;
+  [[nodiscard]] auto law() const -> std::int64_t { return state.law; }
+  [[nodiscard]] auto usage() const -> std::int64_t { return admitted; }
+  auto meet(const cell_row& r) -> void;  // the ledger's word, as the session brings it
+  const std::string id;
+
+ private:
+  enum class part { idle, back, prim };
+  struct entry {
+    std::int64_t epoch;
+    bool go;  // a go-live point: the last entry of its operation
+    tree e;
+    tick born;
+  };
+  struct mate {  // what the primary knows of one copy it feeds
+    std::int64_t next = 0, got = -1, done = -1;
+    tick heard = 0;
+    bool joined = false, nacked = false;
+    std::int64_t copies = 0;
+  };
+  struct pending {
+    std::int64_t idx;
+    output out;
+    slot_ptr to;  // for reads and repeats
+    tree reply;
+  };
+
+  [[nodiscard]] auto me() const -> std::string { return g.ses.me.member(); }
+  [[nodiscard]] auto last() const -> std::int64_t { return base + static_cast<std::int64_t>(log.size()); }
+  [[nodiscard]] auto epoch_at(std::int64_t i) const -> std::int64_t;
+  [[nodiscard]] auto kept() const -> bool { return state.keep > 0; }
+  [[nodiscard]] auto key(std::int64_t i) const -> std::string;
+  [[nodiscard]] auto safe() const -> std::int64_t;  // up to here outputs may go out
+  [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
+  auto load() -> void;
+  auto wipe() -> void;
+  auto save() -> void;  // a capture to disk; entries before it go
+  auto push(entry e) -> std::int64_t;
+  auto operate(std::vector<tree> row) -> void;  // one operation: entries, the last a go-live point
+  auto release() -> void;
+  auto dispatch(pending& p) -> void;
+  auto clock_entry() -> std::vector<tree>;
+  auto law_entry() -> std::optional<tree>;
+  auto watch() -> task<void>;
+  auto settle() -> task<void>;
+  auto replay() -> task<void>;
+  auto feed(std::string member, std::int64_t stint) -> task<void>;
+  auto start_feed(const std::string& member) -> void;
+  auto propose(cell_row next, std::string why) -> task<bool>;
+  auto claim(std::string why) -> task<void>;
+  auto tend() -> task<void>;
+  auto go_live() -> void;
+  auto halt(const std::string& why) -> void;
+  auto give_up(const std::string& why) -> void;  // final answers at once to what waits
+  auto pace() -> void;
+  auto ack(bool nack) -> void;
+
+  ground g;
+  host& h;
+  store& disk;
+  part role = part::idle;
+  cell_row row;
+  std::int64_t stint = 0;
+  bool broken = false;
+  hoard state;
+  std::deque<entry> log;
+  std::int64_t base = 0, base_epoch = 0, applied = 0, solid = 0, shelf = 0;
+  bool urgent = false;
+  std::deque<pending> outs;
+  std::map<std::string, mate> mates;
+  std::set<std::string> proving;  // copies whose ack is needed while a move is in flight
+  std::string fresh_back;         // the copy being made to restore redundancy
+  tick fresh_since = 0;
+  std::set<std::string> barred;
+  std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
+  std::map<std::string, wire_ptr> wires;   // by subscription
+  std::map<std::string, tick> lonely;      // subscriptions whose forager is gone
+  std::string lord;                        // whom this backup follows
+  std::int64_t lord_epoch = 0;
+  wire_ptr lord_wire;
+  tick heard = 0, clock_at = 0, born_at = 0, back_at = 0;
+  std::string copy_part;
+  double share = 1;                        // the admission share of gradual slowing
+  double tokens = 0, peak = 0;
+  tick paced = 0, window = 0;
+  std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
+  bool handing = false;
+  signal grown, rows_in, stir, dirty;
+  nest home;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/comb/comb.cpp
@@ -0,0 +1,240 @@
+#include "comb/comb.hpp"
+
+#include "wax/ring.hpp"
+
+namespace hive {
+namespace {
+
+constexpr auto lane_most = std::size_t{2000};  // commands waiting in one lane
+
+}  // namespace
+
+// A disk has a name of its own, so that a new disk is never taken for the lost one.
+auto disk_id(host& h) -> std::string {
+  if (auto v = h.disk()->get("B/disk")) {
+    auto t = unseal(*v);
+    if (num(t, "format") != 1) throw verdict("damaged", "the data folder's format is not 1");
+    return str(t, "id");
+  }
+  auto any = false;
+  h.disk()->scan("", [&](const std::string&, const std::string&) { any = true; });
+  if (any) throw verdict("damaged", "the data folder holds records but lacks its name: foreign or damaged");
+  char buf[20];
+  std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(h.chance()));
+  h.disk()->put("B/disk", seal(branch{{"format", 1}, {"id", buf}}));
+  return buf;
+}
+
+comb::comb(host& hh, const config& c) : ses(hh, c, c.seeds), h(hh), set(c), home(hh) {
+  home.on_fault = [this](std::exception_ptr e) {
+    try {
+      std::rethrow_exception(e);
+    } catch (const std::exception& x) {
+      hive::log(grade::grave, set.name, std::string("task ended: ") + x.what());
+      spill("a task ended");
+    }
+  };
+  ses.me.kind = "comb";
+  ses.me.disk = disk_id(h);
+  ses.me.ready = true;
+  ses.serving = [this] { return serving(); };
+  auto a = answers();
+  a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
+  a.note = [this](const wire_ptr& w, const tree& t) { note(w, t); };
+  a.gone = [this](const wire_ptr& w) { queue({command::kind::lost, {}, {}, w, nullptr}); };
+  home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
+  if (!c.web.empty()) {
+    auto p = pages();
+    p.page = [this](request r) { return page(std::move(r)); };
+    home.spawn(serve_web(h, home, h.listen(c.web), p));
+  }
+  home.spawn(work());
+  home.spawn(found());
+}
+comb::~comb() = default;
+
+auto comb::reload(const config& c) -> void {
+  set = c;
+  ses.me.zone = c.zone;
+}
+
+auto comb::reach(const std::string& addr) -> colleague& {
+  auto& c = mates[addr];
+  if (!c) {
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+    c->on_note = [this](const tree& t) {
+      if (str_or(t, "op") != "c.ack") return;
+      if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_ack(str(t, "me"), t);
+    };
+  }
+  return *c;
+}
+
+auto comb::add(const std::string& id) -> cell& {
+  auto& c = cells[id];
+  if (!c) c = std::make_unique<cell>(ground{h, set, ses, [this](const std::string& a) -> colleague& { return reach(a); }, [this] { return going; }}, id);
+  return *c;
+}
+
+// Opens the cells that the ledger gives to this comb.
+auto comb::found() -> task<void> {
+  while (true) {
+    auto end = h.now() + set.beat;
+    co_await ses.news.wait(h, end);
+    if (!ses.fresh()) continue;
+    auto me = ses.me.member();
+    for (const auto& [id, r] : ses.known.cells)
+      if (r.holds(me) && !cells.count(id)) add(id);
+    for (auto& [id, c] : cells)
+      if (auto it = ses.known.cells.find(id); it != ses.known.cells.end()) c->meet(it->second);
+    auto use = std::int64_t{0};
+    for (auto& [id, c] : cells) use += c->live() ? 2 : 1;
+    ses.me.usage = use;
+  }
+}
+
+auto comb::serving() const -> std::int64_t {
+  auto out = ses.known.law ? ses.known.law->number : 0;
+  for (const auto& [id, c] : cells)
+    if (c->live()) out = std::min(out, c->law());
+  return out;
+}
+
+auto comb::lane(const std::string& id) const -> std::size_t {
+  if (!ses.known.law) return 9;
+  auto it = ses.known.law->spaces.find(id.substr(0, id.find('/')));
+  return it == ses.known.law->spaces.end() ? 9 : 9 - static_cast<std::size_t>(it->second.urgency);
+}
+
+auto comb::queue(command c) -> void {
+  auto at = c.what == command::kind::lost ? 0 : lane(c.cell);
+  lanes[at].push_back(std::move(c));
+  more.wake();
+}
+
+// The owner of all cells' tables: works the commands, the urgent lanes first.
+auto comb::work() -> task<void> {
+  while (true) {
+    auto some = false;
+    for (auto& l : lanes) {
+      if (l.empty()) continue;
+      auto c = std::move(l.front());
+      l.pop_front();
+      some = true;
+      ++worked;
+      if (c.what == command::kind::lost) {
+        for (auto& [id, one] : cells) one->lost(c.w);
+        break;
+      }
+      auto it = cells.find(c.cell);
+      try {
+        if (it == cells.end()) {
+          if (c.s) {
+            c.s->bad = verdict("not_here", c.cell + " is not held here", ran::no, set.beat / msec);
+            c.s->done.wake();
+          } else if (c.what == command::kind::subscribe) {
+            c.w->tell(branch{{"op", "subbed"}, {"i", sub(c.t, "i")}, {"ok", false}, {"code", "not_here"}, {"pos", 0}});
+          }
+        } else if (c.what == command::kind::publish) it->second->publish(c.t, c.s);
+        else if (c.what == command::kind::subscribe) it->second->subscribe(c.t, c.w);
+        else if (c.what == command::kind::finish) it->second->finish(str(c.t, "i"));
+        else it->second->read(c.t, c.s);
+      } catch (const bad_bytes& e) {
+        if (c.s) {
+          c.s->bad = verdict("malformed", e.what());
+          c.s->done.wake();
+        }
+        hive::log(grade::warn, set.name, std::string("malformed command: ") + e.what());
+      }
+      break;
+    }
+    if (!some) co_await more.wait(h);
+    else co_await nap(h, 0);
+  }
+}
+
+auto comb::ask(wire_ptr w, tree t) -> task<tree> {
+  auto op = str(t, "op");
+  if (op == "pub" || op == "read") {
+    auto id = str(t, "cell");
+    auto kind = op == "pub" ? command::kind::publish : command::kind::read;
+    if (lanes[lane(id)].size() >= lane_most) throw verdict("busy", "too many requests wait", ran::no, set.lag / msec);
+    auto s = std::make_shared<cell::slot>();
+    queue({kind, id, std::move(t), w, s});
+    auto end = h.now() + set.lose * 2;
+    while (!s->out && !s->bad) {
+      auto in_time = co_await s->done.wait(h, end);
+      if (!in_time) throw verdict("unclear", "not safe on a second copy in time", ran::maybe, set.lose / msec / 2);
+    }
+    if (s->bad) throw *s->bad;
+    co_return std::move(*s->out);
+  }
+  if (op == "c.join") {
+    if (!ses.fresh()) throw verdict("away", "not yet fresh from the ledger", ran::no, set.beat / msec);
+    co_return co_await add(str(t, "cell")).on_join(t);
+  }
+  if (op == "c.copy") co_return co_await add(str(t, "cell")).on_copy(t);
+  if (op == "status") co_return status();
+  throw verdict("malformed", "unknown request " + op);
+}
+
+auto comb::note(const wire_ptr& w, const tree& t) -> void {
+  auto op = str_or(t, "op");
+  try {
+    if (op == "c.log") {
+      if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_log(w, t);
+    } else if (op == "sub") {
+      queue({command::kind::subscribe, str(t, "cell"), t, w, nullptr});
+    } else if (op == "end") {
+      queue({command::kind::finish, str(t, "cell"), t, w, nullptr});
+    }
+  } catch (const bad_bytes& e) {
+    hive::log(grade::warn, set.name, "malformed note from " + w->who + ": " + e.what());
+    w->drop();
+  }
+}
+
+auto comb::leave(tick limit) -> task<void> {
+  going = true;
+  ses.me.leaving = true;
+  ses.me.ready = false;
+  hive::log(grade::note, set.name, "leaving: cells are handed over");
+  while (h.now() < limit) {
+    auto left = 0;
+    for (const auto& [id, c] : cells) left += c->live();
+    if (!left) break;
+    co_await rest(h, set.beat / 4);
+  }
+  co_await ses.leave(std::min(limit, h.now() + set.beat));
+}
+
+auto comb::page(request r) -> task<response> {
+  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (r.path == "/readyz") {
+    if (!going && ses.fresh() && ses.leased() && !h.disk()->broken()) co_return response{200, {}, "ready\n"};
+    throw verdict("not_ready", going ? "leaving" : "no lease stands", ran::no, set.lose / msec);
+  }
+  if (r.path == "/status") co_return response{200, status(), {}};
+  if (r.path == "/ring") co_return response{200, {}, ring_text()};
+  throw verdict("not_found", "no page " + r.path);
+}
+
+auto comb::cell_at(const std::string& id) const -> const cell* {
+  auto it = cells.find(id);
+  return it == cells.end() ? nullptr : it->second.get();
+}
+
+auto comb::status() const -> tree {
+  auto cs = branch();
+  for (const auto& [id, c] : cells) cs[id] = c->stand();
+  auto mem = twigs();
+  for (const auto& [n, s] : ses.known.all()) mem.emplace_back(n);
+  auto wait = std::size_t{0};
+  for (const auto& l : lanes) wait += l.size();
+  auto* d = h.disk();
+  return branch{{"kind", "comb"}, {"name", set.name}, {"zone", set.zone}, {"member", ses.me.member()}, {"leased", ses.leased()},
+                {"charter", ses.known.law ? ses.known.law->number : 0}, {"members", mem}, {"cells", cs}, {"queued", wait},
+                {"worked", worked}, {"syncs", d->syncs}, {"bytes", d->bytes}, {"disk_fails", d->broken()}};
+}
+
+}  // namespace hive
--- /dev/null
+++ b/comb/hoard.cpp
@@ -0,0 +1,203 @@
+#include "comb/hoard.hpp"
+
+#include <algorithm>
+
+namespace hive {
+namespace {
+
+constexpr auto slack = std::int64_t{1000};       // the logged clock trails by at most this
+constexpr auto callers_for = std::int64_t{60};   // a caller is known for so many resend spans
+
+}  // namespace
+
+auto tally::has(std::int64_t seq) const -> bool {
+  auto it = runs.upper_bound(seq);
+  if (it == runs.begin()) return false;
+  return std::prev(it)->second >= seq;
+}
+auto tally::add(std::int64_t seq) -> void {
+  high = std::max(high, seq);
+  if (!runs.empty() && runs.rbegin()->second == seq - 1) runs.rbegin()->second = seq;
+  else runs[seq] = seq;
+  while (runs.size() > 256) runs.erase(runs.begin());  // what is forgotten is refused, never run again
+}
+
+auto hoard::weigh(const std::string& who, const std::string& topic, std::int64_t seq) const -> standing {
+  auto it = callers.find({who, topic});
+  if (it == callers.end() || seq > it->second.high) return standing::fresh;
+  return it->second.has(seq) ? standing::repeat : standing::below;
+}
+
+auto hoard::close(const std::string& id) -> void {
+  auto it = open.find(id);
+  if (it == open.end()) return;
+  topics[it->second.topic].open.erase(id);
+  open.erase(it);
+}
+
+auto hoard::expire() -> void {
+  auto age = std::max(keep, resend) + slack;
+  for (auto& [name, t] : topics) {
+    while (!t.kept.empty() && t.kept.front().at + age < clock) {
+      t.floor = t.kept.front().pos;
+      t.kept.pop_front();
+    }
+  }
+  for (auto it = callers.begin(); it != callers.end();)
+    it = it->second.at + resend * callers_for < clock ? callers.erase(it) : std::next(it);
+}
+
+auto hoard::apply(std::int64_t pos, const tree& e) -> std::vector<output> {
+  auto out = std::vector<output>();
+  auto k = str(e, "k");
+  if (k == "c") {  // a clock read, or the timer that made one
+    auto was = clock / slack;
+    clock += num(e, "d");
+    if (clock / slack != was) expire();
+  } else if (k == "p") {  // publish: the output entry of its ack and of its fan-out
+    auto who = str(e, "d"), topic = str(e, "t");
+    auto seq = num(e, "s");
+    if (weigh(who, topic, seq) != standing::fresh) return out;
+    auto& c = callers[{who, topic}];
+    c.add(seq);
+    c.at = clock;
+    auto& t = topics[topic];
+    t.kept.push_back({pos, who, str(e, "b"), seq, clock, num(e, "w")});
+    out.push_back({output::kind::accepted, {who}, topic, t.kept.back(), pos});
+    auto ids = std::vector<std::string>();
+    for (const auto& id : t.open) {
+      open[id].last = pos;
+      ids.push_back(id);
+    }
+    if (!ids.empty()) out.push_back({output::kind::deliver, ids, topic, t.kept.back(), pos});
+  } else if (k == "s") {  // subscribe, or resume after a position
+    auto id = str(e, "i"), topic = str(e, "t");
+    auto after = num(e, "a");
+    close(id);
+    auto& t = topics[topic];
+    if (after >= 0 && after < t.floor) {
+      out.push_back({output::kind::gone, {id}, topic, {}, t.floor});
+      return out;
+    }
+    auto from = after < 0 ? pos : after;
+    out.push_back({output::kind::opened, {id}, topic, {}, from});
+    auto& l = open[id];
+    l = {topic, str(e, "d"), from};
+    t.open.insert(id);
+    for (const auto& m : t.kept) {
+      if (m.pos <= from) continue;
+      out.push_back({output::kind::deliver, {id}, topic, m, m.pos});
+      l.last = m.pos;
+    }
+  } else if (k == "e") {
+    close(str(e, "i"));
+  } else if (k == "l") {  // a charter's step
+    keep = num(e, "keep");
+    resend = num(e, "resend");
+    law = num(e, "n");
+    expire();
+  }
+  return out;
+}
+
+auto hoard::capture() const -> tree {
+  auto ts = twigs();
+  for (const auto& [name, t] : topics) {
+    auto rows = twigs();
+    for (const auto& m : t.kept) rows.push_back(twigs{m.pos, m.from, m.body, m.seq, m.at, m.wall});
+    ts.push_back(twigs{name, t.floor, rows});
+  }
+  auto os = twigs();
+  for (const auto& [id, l] : open) os.push_back(twigs{id, l.topic, l.who, l.last});
+  auto cs = twigs();
+  for (const auto& [key, c] : callers) {
+    auto rs = twigs();
+    for (const auto& [a, b] : c.runs) rs.push_back(twigs{a, b});
+    cs.push_back(twigs{key.first, key.second, c.high, c.at, rs});
+  }
+  return branch{{"clock", clock}, {"keep", keep}, {"resend", resend}, {"law", law}, {"topics", ts}, {"open", os}, {"callers", cs}};
+}
+
+auto hoard::restore(const tree& t) -> hoard {
+  auto h = hoard();
+  h.clock = num(t, "clock");
+  h.keep = num(t, "keep");
+  h.resend = num(t, "resend");
+  h.law = num(t, "law");
+  for (const auto& r : list(t, "topics")) {
+    const auto& a = r.as_array();
+    auto& row = h.topics[std::string(a.at(0).as_string())];
+    row.floor = a.at(1).as_int64();
+    for (const auto& m : a.at(2).as_array()) {
+      const auto& f = m.as_array();
+      row.kept.push_back({f.at(0).as_int64(), std::string(f.at(1).as_string()), std::string(f.at(2).as_string()),
+                          f.at(3).as_int64(), f.at(4).as_int64(), f.at(5).as_int64()});
+    }
+  }
+  for (const auto& r : list(t, "open")) {
+    const auto& a = r.as_array();
+    auto id = std::string(a.at(0).as_string());
+    h.open[id] = {std::string(a.at(1).as_string()), std::string(a.at(2).as_string()), a.at(3).as_int64()};
+    h.topics[h.open[id].topic].open.insert(id);
+  }
+  for (const auto& r : list(t, "callers")) {
+    const auto& a = r.as_array();
+    auto& c = h.callers[{std::string(a.at(0).as_string()), std::string(a.at(1).as_string())}];
+    c.high = a.at(2).as_int64();
+    c.at = a.at(3).as_int64();
+    for (const auto& run : a.at(4).as_array()) c.runs[run.at(0).as_int64()] = run.at(1).as_int64();
+  }
+  return h;
+}
+
+}  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+namespace {
+auto pub(const char* who, int seq) -> hive::tree {
+  return hive::branch{{"k", "p"}, {"t", "a/x"}, {"d", who}, {"s", seq}, {"b", "hello"}, {"w", 0}};
+}
+auto tock(int ms) -> hive::tree { return hive::branch{{"k", "c"}, {"d", ms}}; }
+auto open_at(const char* id, std::int64_t after) -> hive::tree {
+  return hive::branch{{"k", "s"}, {"i", id}, {"t", "a/x"}, {"d", "w"}, {"a", after}};
+}
+}  // namespace
+TEST_GROUP(hoard_entries){};
+TEST(hoard_entries, repeats_and_late_ones) {
+  auto h = hive::hoard();
+  h.apply(1, pub("c", 5));
+  h.apply(2, pub("c", 7));
+  CHECK(h.weigh("c", "a/x", 5) == hive::standing::repeat);
+  CHECK(h.weigh("c", "a/x", 6) == hive::standing::below);
+  CHECK(h.weigh("c", "a/x", 8) == hive::standing::fresh);
+  CHECK(h.weigh("d", "a/x", 1) == hive::standing::fresh);
+  CHECK(h.apply(3, pub("c", 6)).empty());
+  LONGS_EQUAL(2, h.topics["a/x"].kept.size());
+}
+TEST(hoard_entries, resume_gives_what_is_lacking_and_fails_only_when_expired) {
+  auto h = hive::hoard();
+  h.keep = 35000;
+  h.apply(1, pub("c", 1));
+  h.apply(2, tock(30000));
+  h.apply(3, pub("c", 2));
+  auto o = h.apply(4, open_at("s", 0));
+  LONGS_EQUAL(3, o.size());
+  CHECK(o[0].what == hive::output::kind::opened);
+  LONGS_EQUAL(3, h.open["s"].last);
+  h.apply(5, tock(7000));  // the first is 37 s old, the second 7 s
+  CHECK(h.apply(6, open_at("s", 0))[0].what == hive::output::kind::gone);
+  CHECK(h.apply(7, open_at("s", 1))[0].what == hive::output::kind::opened);
+}
+TEST(hoard_entries, a_capture_is_the_whole_state) {
+  auto h = hive::hoard();
+  h.apply(1, open_at("s", -1));
+  h.apply(2, pub("c", 5));
+  h.apply(3, tock(1200));
+  auto two = hive::hoard::restore(h.capture());
+  CHECK(two.capture() == h.capture());
+  auto a = h.apply(4, pub("c", 6)), b = two.apply(4, pub("c", 6));
+  LONGS_EQUAL(a.size(), b.size());
+  CHECK(two.capture() == h.capture());
+}
+#endif
--- /dev/null
+++ b/forager/forager.cpp
@@ -0,0 +1,440 @@
+#include "forager/forager.hpp"
+
+#include <algorithm>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+namespace {
+
+constexpr auto flying_most = 64;  // publishes of one link that wait for their answer
+constexpr auto topics_most = std::size_t{1000};
+
+auto good_name(const std::string& s) -> bool {
+  if (s.empty() || s.size() > 100) return false;
+  return std::all_of(s.begin(), s.end(), [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == ':'; });
+}
+
+}  // namespace
+
+forager::forager(host& hh, const config& c) : ses(hh, c, {c.feed}), h(hh), set(c), home(hh) {
+  home.on_fault = [this](std::exception_ptr e) {
+    try {
+      std::rethrow_exception(e);
+    } catch (const std::exception& x) {
+      hive::log(grade::warn, set.name, std::string("task ended: ") + x.what());
+    }
+  };
+  char buf[20];
+  std::snprintf(buf, sizeof buf, "%08llx", static_cast<unsigned long long>(h.chance() >> 32));
+  mark = buf;
+  ses.me.kind = "forager";
+  auto p = pages();
+  p.page = [this](request r) { return page(std::move(r)); };
+  p.stream = [this](request r, std::shared_ptr<lines> io) { return stream(std::move(r), std::move(io)); };
+  p.body_most = static_cast<std::size_t>(set.body) * 2 + 4096;
+  home.spawn(serve_web(h, home, h.listen(c.web), p));
+  home.spawn(tender());
+  home.spawn(beats());
+}
+forager::~forager() = default;
+
+auto forager::ready() const -> bool { return !going && ses.may_serve() && ses.fresh(); }
+
+auto forager::reach(const std::string& addr) -> colleague& {
+  auto& c = mates[addr];
+  if (!c) {
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+    c->on_note = [this, addr](const tree& t) { on_note(addr, t); };
+    c->on_turn = [this, addr](bool up) {
+      if (!up)
+        for (auto& [sid, r] : subs)
+          if (r.at == addr) r.open = false, r.at.clear();
+      stir.wake();
+    };
+  }
+  return *c;
+}
+
+auto forager::home_of(const std::string& topic) const -> std::string {
+  const auto* s = ses.known.law ? ses.known.law->space_of(topic) : nullptr;
+  return s ? cell_of(*s, topic) : "";
+}
+auto forager::lead_of(const std::string& cell) const -> std::string {
+  auto it = ses.known.cells.find(cell);
+  if (it == ses.known.cells.end() || it->second.prim.empty()) return "";
+  const auto* s = ses.known.find(name_of(it->second.prim));
+  return s && s->member() == it->second.prim ? s->addr : "";
+}
+
+// The request's way through the rules of the newest charter (design 7.2).
+auto forager::judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> std::string {
+  if (going) throw verdict("leaving", "this node is going down", ran::no, h.spread(set.lose) / msec);
+  if (!ready()) throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
+  if (!good_topic(topic)) throw verdict("malformed", "'" + topic + "' is no topic");
+  auto r = ses.known.law->judge(a, who, topic, n);
+  if (!r.ok) throw verdict("denied", r.why);
+  if (!good_topic(r.topic) || !ses.known.law->space_of(r.topic)) throw verdict("no_space", "no space holds '" + r.topic + "'");
+  return r.topic;
+}
+
+auto forager::fields(const tree& t, std::initializer_list<const char*> known) const -> void {
+  for (const auto& kv : t.as_object())
+    if (std::none_of(known.begin(), known.end(), [&](auto* k) { return kv.key() == k; }))
+      throw verdict("malformed", "unknown field '" + std::string(kv.key()) + "'");
+}
+
+auto forager::send_publish(std::string who, std::string topic, std::int64_t seq, std::string body) -> task<tree> {
+  if (!good_name(who)) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
+  if (body.size() > static_cast<std::size_t>(set.body)) throw verdict("too_long", "a message over " + std::to_string(set.body) + " bytes");
+  if (seq < 1) throw verdict("below", "seq wants a whole number from 1 up");
+  auto to = judge(act::publish, who, topic, body.size());
+  auto cell = home_of(to);
+  auto addr = lead_of(cell);
+  auto back = h.spread(set.lose / 2) / msec;
+  if (addr.empty()) throw verdict("away", "no primary of " + cell + " is in reach", ran::no, back);
+  auto& c = reach(addr);
+  if (!c.up()) throw verdict("away", "the primary of " + cell + " is not in reach", ran::no, back);
+  auto q = tree(branch{{"op", "pub"}, {"cell", cell}, {"t", to}, {"d", who}, {"s", seq}, {"b", body}});
+  auto r = co_await c.ask(std::move(q), h.now() + set.lose * 2);
+  auto out = branch{{"verdict", "acked"}, {"topic", topic}, {"seq", seq}};
+  if (const auto& p = sub(r, "pos"); p.is_int64()) out["pos"] = p;
+  if (yes(r, "repeat")) out["repeat"] = true;
+  co_return out;
+}
+
+auto forager::say(const downstream_ptr& d, const tree& t) -> void {
+  if (d->over) return;
+  if (d->io->way().owed() > static_cast<std::size_t>(set.buffer) / 16) {
+    d->over = true;  // a slow reader: it resumes by position when it can read again
+    hive::log(grade::note, set.name, "slow reader " + d->name + " is let go");
+    d->io->way().close();
+    return;
+  }
+  d->io->put(t);
+}
+
+auto forager::publish(downstream_ptr d, tree t) -> task<void> {
+  auto out = branch();
+  try {
+    auto body = str(t, "body");
+    auto topic = str(t, "topic");
+    auto r = co_await send_publish(d->name, topic, num(t, "seq"), body);
+    out = r.as_object();
+    ++acked;
+  } catch (const verdict& v) {
+    out = v.to_tree().as_object();
+    ++(v.run == ran::no ? refused : unclear);
+  }
+  out["op"] = "verdict";
+  out["for"] = "publish";
+  out["topic"] = sub(t, "topic");
+  out["seq"] = sub(t, "seq");
+  if (const auto& id = sub(t, "id"); !id.is_null()) out["id"] = id;
+  --d->flying;
+  say(d, out);
+}
+
+auto forager::open_sub(const std::string& sid, sub_row& r) -> void {
+  auto it = ses.known.cells.find(r.cell);
+  auto addr = lead_of(r.cell);
+  if (addr.empty() || it == ses.known.cells.end()) return;
+  auto& c = reach(addr);
+  if (!c.up()) return;
+  r.at = addr;
+  r.epoch = it->second.epoch;
+  r.sent = h.now();
+  c.tell(branch{{"op", "sub"}, {"cell", r.cell}, {"i", sid}, {"t", r.topic}, {"d", r.to->name}, {"a", r.last}});
+}
+
+auto forager::subscribe(const downstream_ptr& d, const tree& t) -> void {
+  auto asked = str(t, "topic");
+  auto after = std::int64_t{-1};
+  if (const auto& a = sub(t, "after"); !a.is_null()) {
+    if (!a.is_int64() || a.get_int64() < 0) throw verdict("malformed", "after wants a position");
+    after = a.get_int64();
+  }
+  if (d->topics.count(asked)) throw verdict("taken", "this link has subscribed to it already");
+  if (d->topics.size() >= topics_most) throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
+  auto to = judge(act::subscribe, d->name, asked, 0);
+  auto sid = set.name + ":" + mark + ":" + std::to_string(++count);
+  d->topics[asked] = sid;
+  auto& r = subs[sid];
+  r.asked = asked;
+  r.topic = to;
+  r.cell = home_of(to);
+  r.last = after;
+  r.to = d;
+  open_sub(sid, r);
+}
+
+auto forager::finish(const std::string& sid, bool tell) -> void {
+  auto it = subs.find(sid);
+  if (it == subs.end()) return;
+  auto& r = it->second;
+  if (tell && !r.at.empty()) reach(r.at).tell(branch{{"op", "end"}, {"cell", r.cell}, {"i", sid}});
+  r.to->topics.erase(r.asked);
+  subs.erase(it);
+}
+
+auto forager::line(downstream_ptr d, tree t) -> void {
+  auto op = std::string();
+  try {
+    if (!t.is_object()) throw verdict("malformed", "a line that is no JSON object");
+    if (!sub(t, "op").is_string()) throw verdict("malformed", "op is missing");
+    op = str(t, "op");
+    if (op == "beat") {
+      fields(t, {"op"});
+      return;
+    }
+    if (op == "enrol") {
+      fields(t, {"op", "name", "id"});
+      if (!sub(t, "name").is_string() || !good_name(str(t, "name"))) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
+      if (!d->name.empty()) throw verdict("taken", "this link is enrolled already");
+      d->name = str(t, "name");
+      return say(d, branch{{"op", "verdict"}, {"for", "enrol"}, {"verdict", "done"}, {"name", d->name}, {"node", set.name}});
+    }
+    if (d->name.empty()) throw verdict("malformed", "enrol first");
+    if (op == "publish") {
+      fields(t, {"op", "topic", "seq", "body", "id"});
+      if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
+      if (!sub(t, "seq").is_int64()) throw verdict("malformed", "seq is missing or no whole number");
+      if (!sub(t, "body").is_string()) throw verdict("malformed", "body is missing or no string");
+      if (d->flying >= flying_most) throw verdict("busy", "too many publishes of this link wait", ran::no, set.beat / msec);
+      ++d->flying;
+      return home.spawn(publish(d, std::move(t)));
+    }
+    if (op == "subscribe") {
+      fields(t, {"op", "topic", "after", "id"});
+      if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
+      return subscribe(d, t);
+    }
+    if (op == "unsubscribe") {
+      fields(t, {"op", "topic", "id"});
+      if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
+      auto it = d->topics.find(str(t, "topic"));
+      if (it == d->topics.end()) throw verdict("not_found", "this link has not subscribed to it");
+      finish(std::string(it->second), true);
+      return say(d, branch{{"op", "verdict"}, {"for", "unsubscribe"}, {"verdict", "done"}, {"topic", sub(t, "topic")}});
+    }
+    throw verdict("malformed", "unknown op '" + op + "'");
+  } catch (const verdict& v) {
+    ++refused;
+    auto out = v.to_tree().as_object();
+    out["op"] = "verdict";
+    out["for"] = op;
+    for (auto k : {"topic", "seq", "id"})
+      if (const auto& f = sub(t, k); !f.is_null()) out[k] = f;
+    say(d, out);
+  }
+}
+
+auto forager::drop(const downstream_ptr& d) -> void {
+  d->over = true;
+  links.erase(d->id);
+  auto sids = std::vector<std::string>();
+  for (const auto& [t, sid] : d->topics) sids.push_back(sid);
+  for (const auto& sid : sids) finish(sid, true);
+}
+
+// One task per downstream link, from its first line to its last.
+auto forager::stream(request, std::shared_ptr<lines> io) -> task<void> {
+  auto d = std::make_shared<downstream>();
+  d->io = io;
+  if (!ready() || links.size() >= static_cast<std::size_t>(set.links)) {
+    auto v = verdict(ready() ? "busy" : "not_ready", "this node takes no links now", ran::no, h.spread(set.lose) / msec);
+    auto out = v.to_tree().as_object();
+    out["op"] = "verdict";
+    out["for"] = "link";
+    say(d, out);
+    io->end();
+    co_return;
+  }
+  d->id = ++seated;
+  links[d->id] = d;
+  try {
+    while (!d->over) {
+      auto l = co_await io->next(never);
+      if (!l) break;
+      auto ec = boost::json::error_code();
+      auto t = boost::json::parse(*l, ec);
+      line(d, ec ? tree() : std::move(t));
+    }
+  } catch (const verdict& v) {  // a line beyond all bounds
+    auto out = v.to_tree().as_object();
+    out["op"] = "verdict";
+    out["for"] = "link";
+    say(d, out);
+  }
+  drop(d);
+  io->end();
+}
+
+auto forager::on_note(const std::string& addr, const tree& t) -> void {
+  auto op = str_or(t, "op");
+  if (op == "got") {
+    for (const auto& i : list(t, "i")) {
+      auto it = subs.find(std::string(i.as_string()));
+      if (it == subs.end() || it->second.at != addr) continue;
+      auto& r = it->second;
+      auto pos = num(t, "pos");
+      if (pos <= r.last) continue;  // repeated outputs of a failover end here
+      if (!r.told) continue;
+      r.last = pos;
+      ++delivered;
+      say(r.to, branch{{"op", "deliver"}, {"topic", r.asked}, {"pos", pos}, {"from", sub(t, "d")}, {"seq", sub(t, "s")}, {"body", sub(t, "b")}, {"at", sub(t, "w")}});
+    }
+    return;
+  }
+  if (op == "subbed") {
+    auto sid = str(t, "i");
+    auto it = subs.find(sid);
+    if (it == subs.end() || it->second.at != addr) return;
+    auto& r = it->second;
+    if (yes(t, "ok")) {
+      r.open = true;
+      if (r.last < 0) r.last = num(t, "pos");
+      if (!r.told) {
+        r.told = true;
+        say(r.to, branch{{"op", "verdict"}, {"for", "subscribe"}, {"verdict", "done"}, {"topic", r.asked}, {"pos", r.last}});
+      }
+      return;
+    }
+    auto code = str(t, "code");
+    if (code == "not_here") {
+      r.at.clear();
+      r.sent = h.now();
+      return;
+    }
+    auto why = code == "gone" ? "what it lacks has expired" : "that position was never given out";
+    auto out = verdict(code, why).to_tree().as_object();
+    out["op"] = r.told ? "ended" : "verdict";
+    out["for"] = "subscribe";
+    out["topic"] = r.asked;
+    out["pos"] = sub(t, "pos");
+    say(r.to, out);
+    finish(sid, false);
+    return;
+  }
+  if (op == "moved") {
+    auto cell = str(t, "cell");
+    for (auto& [sid, r] : subs)
+      if (r.cell == cell && r.at == addr) {
+        r.open = false;
+        r.at.clear();
+      }
+    stir.wake();
+  }
+}
+
+// Keeps every subscription open at the cell's present primary, from where it stands.
+auto forager::tender() -> task<void> {
+  while (true) {
+    auto end = h.now() + set.beat / 2;
+    co_await ses.news.wait(h, end);
+    if (ses.known.law && ses.known.law->number != judged) {
+      judged = ses.known.law->number;
+      auto out = std::vector<std::string>();
+      for (auto& [sid, r] : subs) {
+        auto v = ses.known.law->judge(act::subscribe, r.to->name, r.asked, 0);
+        if (!v.ok || v.topic != r.topic) out.push_back(sid);
+      }
+      for (auto& sid : out) {
+        auto& r = subs[sid];
+        say(r.to, branch{{"op", "ended"}, {"for", "subscribe"}, {"verdict", "refused"}, {"code", "denied"}, {"why", "a newer charter ends it"}, {"topic", r.asked}, {"pos", r.last}});
+        finish(sid, true);
+      }
+    }
+    for (const auto& [n, s] : ses.known.all())
+      if (s.kind == "comb" && !s.addr.empty()) reach(s.addr);  // links stand before they are needed
+    auto now = h.now();
+    for (auto& [sid, r] : subs) {
+      auto it = ses.known.cells.find(r.cell);
+      if (it == ses.known.cells.end()) continue;
+      auto moved = it->second.epoch != r.epoch && lead_of(r.cell) != r.at;
+      if (r.open && !moved && !r.at.empty()) continue;
+      if (!moved && now - r.sent < (r.at.empty() ? set.beat / 2 : set.budget)) continue;
+      r.open = false;
+      open_sub(sid, r);
+    }
+  }
+}
+
+auto forager::beats() -> task<void> {
+  while (true) {
+    co_await rest(h, set.beat * 5);
+    auto all = links;
+    for (auto& [id, d] : all) say(d, branch{{"op", "beat"}});
+    ses.me.ready = ready();
+    ses.me.leaving = going;
+    ses.me.usage = static_cast<std::int64_t>(links.size());
+  }
+}
+
+auto forager::leave(tick limit) -> task<void> {
+  going = true;
+  ses.me.ready = false;
+  ses.me.leaving = true;
+  auto all = links;
+  for (auto& [id, d] : all) say(d, branch{{"op", "return"}, {"retry_ms", h.spread(set.beat * 2) / msec}});
+  hive::log(grade::note, set.name, "leaving: " + std::to_string(all.size()) + " links told to return");
+  auto end = std::min(limit, h.now() + set.lose);
+  while (h.now() < end && std::any_of(links.begin(), links.end(), [](auto& l) { return l.second->flying > 0; })) co_await rest(h, set.beat / 4);
+  for (auto& [id, d] : all) {
+    d->over = true;
+    d->io->end();
+  }
+  co_await ses.leave(h.now() + set.beat);
+}
+
+auto forager::page(request r) -> task<response> {
+  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (r.path == "/readyz") {
+    if (ready()) co_return response{200, {}, "ready\n"};
+    throw verdict("not_ready", going ? "leaving" : "no charter lease stands", ran::no, h.spread(set.lose) / msec);
+  }
+  if (r.path == "/status") co_return response{200, status(), {}};
+  if (r.path == "/ring") co_return response{200, {}, ring_text()};
+  if (r.path == "/v1/publish" && r.verb == "POST") {
+    auto ec = boost::json::error_code();
+    auto t = boost::json::parse(r.body, ec);
+    if (ec || !t.is_object()) throw verdict("malformed", "the body is no JSON object");
+    fields(t, {"name", "topic", "seq", "body"});
+    for (auto k : {"name", "topic", "body"})
+      if (!sub(t, k).is_string()) throw verdict("malformed", std::string(k) + " is missing or no string");
+    if (!sub(t, "seq").is_int64()) throw verdict("malformed", "seq is missing or no whole number");
+    auto out = co_await send_publish(str(t, "name"), str(t, "topic"), num(t, "seq"), str(t, "body"));
+    co_return response{200, out, {}};
+  }
+  if (r.path == "/v1/read" && r.verb == "GET") {
+    auto after = std::int64_t{-1};
+    try {
+      if (r.query.count("after")) after = std::stoll(r.query["after"]);
+    } catch (const std::exception&) {
+      throw verdict("malformed", "after wants a position");
+    }
+    auto to = judge(act::read, r.query["name"], r.query["topic"], 0);
+    auto cell = home_of(to);
+    auto addr = lead_of(cell);
+    if (addr.empty()) throw verdict("away", "no primary of " + cell + " is in reach", ran::no, set.lose / msec);
+    auto q = tree(branch{{"op", "read"}, {"cell", cell}, {"t", to}, {"a", after}});
+    auto out = co_await reach(addr).ask(std::move(q), h.now() + set.budget);
+    co_return response{200, out, {}};
+  }
+  throw verdict("not_found", "no page " + r.path);
+}
+
+auto forager::status() const -> tree {
+  auto open = std::size_t{0};
+  for (const auto& [sid, r] : subs) open += r.open;
+  auto cells = branch();
+  for (const auto& [id, c] : ses.known.cells) cells[id] = c.to_tree();
+  auto mem = twigs();
+  for (const auto& [n, s] : ses.known.all()) mem.emplace_back(n);
+  return branch{{"kind", "forager"}, {"name", set.name}, {"zone", set.zone}, {"ready", ready()}, {"leased", ses.leased()},
+                {"charter", ses.known.law ? ses.known.law->number : 0}, {"links", links.size()}, {"subscriptions", subs.size()},
+                {"open", open}, {"acked", acked}, {"refused", refused}, {"unclear", unclear}, {"delivered", delivered},
+                {"members", mem}, {"cells", cells}};
+}
+
+}  // namespace hive
--- /dev/null
+++ b/meadow/caller.hpp
@@ -0,0 +1,100 @@
+// Stand-ins for those outside: the platform, callers, operators (design 9.2).
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wax/http.hpp"
+
+namespace hive {
+
+// What the stand-ins saw, for the judge; and figures for the measurements.
+struct history {
+  std::vector<tree> rows;
+  std::map<std::string, std::vector<tick>> acks, deliveries;  // by space
+  std::map<std::string, std::int64_t> counts;
+  std::map<std::pair<std::string, std::int64_t>, tick> sent;  // "topic who" and seq -> first try
+  auto note(host& h, branch e) -> void {
+    e["t"] = h.now() / msec;
+    rows.emplace_back(std::move(e));
+  }
+};
+
+// Spreads new connections over the foragers that say they are ready.
+class platform {
+ public:
+  platform(host& h, std::vector<std::string> webs);
+  auto draw() -> std::string;  // empty: none is ready
+  std::set<std::string> ready;
+
+ private:
+  auto poll(std::string web) -> task<void>;
+  host& h;
+  nest home;
+};
+
+class caller {
+ public:
+  struct plan {
+    std::string name;
+    std::vector<std::string> hear, tell;
+    tick every = sec;      // between publishes
+    tick drop = never;     // about how long a link is kept before it is dropped by itself
+    tick until = never;    // publishes stop then
+  };
+  caller(host& h, platform& p, history& log, plan what);
+  auto reset() -> void;  // its connection is reset
+  auto hush() -> void { what.until = 0; }  // new publishes stop; open ones are seen through
+  auto lull() -> void { what.drop = never; }
+  bool linked = false;
+
+ private:
+  struct flight {
+    std::string topic, body;
+    std::int64_t seq;
+    tick first, due;
+    int tries = 0;
+    bool asked = false;
+  };
+  auto live() -> task<void>;
+  auto talk() -> task<void>;
+  auto droppings() -> task<void>;
+  auto take(const tree& t) -> void;
+  auto shoot(flight& f) -> void;
+  host& h;
+  platform& fleet;
+  history& log;
+  plan what;
+  std::shared_ptr<lines> io;
+  std::map<std::string, std::int64_t> pos;  // by topic: where it stands
+  std::map<std::string, flight> open;       // by topic: one publish at a time
+  std::map<std::string, std::int64_t> seq;
+  tick back_in = 0;
+  std::uint64_t said = 0;
+  nest home;
+};
+
+// Sends charters, asks whether they took hold, reads back; retires combs.
+class keeper {
+ public:
+  keeper(host& h, std::vector<std::string> queens, std::vector<std::string> foragers, history& log);
+  auto put(std::int64_t number, std::string body) -> task<bool>;  // true once told accepted
+  auto await_held(std::int64_t number, tick until) -> task<bool>;
+  auto probe_all(std::int64_t low, std::int64_t high) -> task<void>;
+  auto leave(std::string name, std::string kind, tick until) -> task<bool>;
+  auto read_back(tick until) -> task<bool>;
+  auto ask(std::string verb, std::string path, std::string body, tick until) -> task<reply>;
+
+ private:
+  host& h;
+  std::vector<std::string> queens, foragers;
+  history& log;
+  std::int64_t count = 0;
+};
+
+// A charter whose number shows in what it allows: publishing to probe/v<number>.
+auto probe_charter(std::int64_t number, const std::string& spaces) -> std::string;
+
+}  // namespace hive
--- /dev/null
+++ b/queen/main.cpp
@@ -0,0 +1,7 @@
+#include "wax/main.hpp"
+
+#include "queen/queen.hpp"
+
+auto main(int argc, const char** argv) -> int {
+  return hive::run_daemon<hive::queen>(argc, argv, "a control node of reachridge", hive::needs{true, true, false, true, true}, 4 * hive::sec);
+}
--- /dev/null
+++ b/queen/queen.cpp
@@ -0,0 +1,482 @@
+#include "queen/queen.hpp"
+
+#include <algorithm>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+
+queen::queen(host& hh, const config& c)
+    : book(hh, c,
+           {[this](std::int64_t i, const tree& d) {
+              auto out = law.apply(i, d);
+              refresh();
+              return out;
+            },
+            [this] { return law.capture(); },
+            [this](const tree& t) {
+              law.restore(t);
+              refresh();
+            },
+            [this] {
+              grants.clear();
+              news.wake();
+            }}),
+      h(hh), set(c), home(hh) {
+  home.on_fault = [this](std::exception_ptr e) {
+    try {
+      std::rethrow_exception(e);
+    } catch (const std::exception& x) {
+      hive::log(grade::grave, set.name, std::string("task ended: ") + x.what());
+      spill("a task ended");
+    }
+  };
+  if (auto b = h.disk()->get("Q/boot")) boot = num(unseal(*b), "n");
+  ++boot;
+  h.disk()->put("Q/boot", seal(branch{{"n", boot}}));
+  known.tables[c.addr].ver = boot << 32;
+  refresh();
+  auto a = answers();
+  a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
+  home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
+  if (!c.web.empty()) {
+    auto p = pages();
+    p.page = [this](request r) { return page(std::move(r)); };
+    home.spawn(serve_web(h, home, h.listen(c.web), p));
+  }
+  for (const auto& s : c.seeds)
+    if (s != c.addr) home.spawn(swaps(s));
+  home.spawn(sweep());
+  home.spawn(place());
+}
+queen::~queen() = default;
+
+auto queen::refresh() -> void {
+  known.law = law.law;
+  known.cells = law.cells;
+  known.leavings = law.leavings;
+  known.cells_ver = law.cells_ver;
+  news.wake();
+}
+
+// May this queen, as leader, still speak for the majority? (design 5.3)
+auto queen::sure() const -> bool {
+  return book.settled() && h.now() < book.quorum_at() + set.lose * 3 / 8;
+}
+
+auto queen::ask(wire_ptr, tree t) -> task<tree> {
+  auto op = str(t, "op");
+  if (op.compare(0, 2, "l.") == 0) co_return co_await book.ask(op, std::move(t));
+  if (op == "session") co_return co_await on_session(std::move(t));
+  if (op == "swap") co_return on_swap(t);
+  if (op == "deed") co_return co_await deed(sub(t, "deed"));
+  if (op == "bye") {
+    auto n = str(t, "name");
+    if (guests.erase(n)) {
+      known.tables[set.addr].rows.erase(n);
+      known.tables[set.addr].ver = (boot << 32) + ++bump;
+      news.wake();
+    }
+    if (!book.leads()) {
+      try {
+        co_await book.ask_leader(t, h.now() + set.budget);
+      } catch (const verdict&) {
+      }
+    }
+    grants.erase(n);
+    co_return branch{{"ok", true}};
+  }
+  if (op == "draw" || op == "held" || op == "fresh") {
+    if (!book.leads()) co_return co_await to_leader(std::move(t));
+    co_await book.fresh(h.now() + set.budget);
+    if (op == "draw") co_return on_draw(t);
+    if (op == "held") co_return on_held(t);
+    co_return branch{{"charter", law.law ? tree(law.law->body) : tree()}, {"realm", law.capture()}};
+  }
+  if (op == "status") co_return status();
+  throw verdict("malformed", "unknown request " + op);
+}
+
+auto queen::to_leader(tree t) -> task<tree> {
+  t.as_object().erase("q");
+  co_return co_await book.ask_leader(std::move(t), h.now() + set.budget);
+}
+
+auto queen::deed(tree d) -> task<tree> {
+  if (book.leads()) co_return co_await book.propose(std::move(d), h.now() + set.lose);
+  auto q = tree(branch{{"op", "deed"}, {"deed", std::move(d)}});
+  co_return co_await book.ask_leader(std::move(q), h.now() + set.lose);
+}
+
+// A sign of life of a node; the answer brings its lease and what it lacks.
+auto queen::on_session(tree t) -> task<tree> {
+  auto came = h.now();
+  auto row = seat::from_tree(sub(t, "me"));
+  auto& g = guests[row.name];
+  g.seen = came;
+  g.charter = num_or(t, "charter", 0);
+  auto& mine = known.tables[set.addr];
+  auto same = row;
+  same.usage = g.row.usage;
+  if (!mine.rows.count(row.name) || same.to_tree() != g.row.to_tree()) {
+    mine.ver = (boot << 32) + ++bump;
+    news.wake();
+  }
+  g.row = row;
+  mine.rows[row.name] = row;
+  auto vec = sub(t, "vec");
+  auto end = came + set.beat / 2;
+  auto out = known.lacks(vec);
+  auto wishes = wishes_for(row.name);
+  while (out.empty() && wishes.empty() && h.now() < end) {
+    auto in_time = co_await news.wait(h, end);
+    out = known.lacks(vec);
+    if (!in_time) break;
+  }
+  if (!wishes.empty()) out["wish"] = wishes;
+  auto now = h.now();
+  if (book.leads()) {
+    if (sure()) {
+      auto& gr = grants[row.name];
+      gr.until = std::max(gr.until, now + set.lease);
+      gr.charter = num_or(t, "charter", 0);
+      out["lease"] = now + set.lease - came;
+      out["need"] = law.law ? law.law->number : 0;
+      out["cells_need"] = law.cells_ver;
+    }
+  } else if (auto it = guests.find(row.name); it != guests.end() && it->second.grant > now) {
+    out["lease"] = it->second.grant - came;
+    out["need"] = grant_need;
+    out["cells_need"] = grant_cells;
+  }
+  co_return out;
+}
+
+// Control nodes tell each other their sessions; the leader's answer lets the
+// asker give leases to just those it has named.
+auto queen::swaps(std::string addr) -> task<void> {
+  auto told = std::int64_t{-1};
+  while (true) {
+    auto sent = h.now();
+    auto fine = false;
+    try {
+      auto names = std::vector<std::string>();
+      auto live = branch();
+      for (const auto& [n, g] : guests) {
+        if (sent - g.seen > set.lose) continue;
+        live[n] = branch{{"charter", g.charter}, {"usage", g.row.usage}};
+        names.push_back(n);
+      }
+      const auto& mine = known.tables[set.addr];
+      auto q = branch{{"op", "swap"}, {"from", set.addr}, {"ver", mine.ver}, {"live", live}};
+      if (told != mine.ver) {
+        auto rows = twigs();
+        for (const auto& [n, s] : mine.rows) rows.push_back(s.to_tree());
+        q["rows"] = rows;
+      }
+      auto ver = mine.ver;
+      auto r = co_await book.reach(addr).ask(tree(std::move(q)), sent + set.budget);
+      fine = true;
+      told = num_or(r, "have", -1) == ver ? ver : -1;
+      if (yes(r, "grant")) {
+        grant_need = std::max(grant_need, num(r, "need"));
+        grant_cells = std::max(grant_cells, num(r, "cells"));
+        for (const auto& n : names)
+          if (auto it = guests.find(n); it != guests.end()) it->second.grant = std::max(it->second.grant, sent + set.lease);
+      }
+    } catch (const verdict&) {
+      told = -1;
+    }
+    auto changed = known.tables[set.addr].ver;
+    auto end = sent + set.beat;
+    while (h.now() < end && (!fine || changed == told)) {
+      auto in_time = co_await news.wait(h, end);
+      changed = known.tables[set.addr].ver;
+      if (!in_time) break;
+    }
+  }
+}
+
+auto queen::on_swap(const tree& t) -> tree {
+  auto from = str(t, "from");
+  mates_seen[from] = h.now();
+  if (const auto& rows = sub(t, "rows"); rows.is_array()) {
+    auto& tab = known.tables[from];
+    if (num(t, "ver") > tab.ver) {
+      tab.ver = num(t, "ver");
+      tab.rows.clear();
+      for (const auto& r : rows.get_array()) {
+        auto s = seat::from_tree(r);
+        tab.rows[s.name] = s;
+      }
+      news.wake();
+    }
+  }
+  auto out = branch{{"have", known.tables[from].ver}};
+  const auto& live = sub(t, "live");
+  auto& rows = known.tables[from].rows;
+  for (const auto& kv : live.as_object())
+    if (auto it = rows.find(std::string(kv.key())); it != rows.end()) it->second.usage = num_or(kv.value(), "usage", 0);
+  if (sure()) {
+    for (const auto& kv : live.as_object()) {
+      auto& g = grants[std::string(kv.key())];
+      g.until = std::max(g.until, h.now() + set.lease);
+      g.charter = num_or(kv.value(), "charter", 0);
+    }
+    out["grant"] = true;
+    out["need"] = law.law ? law.law->number : 0;
+    out["cells"] = law.cells_ver;
+  }
+  return out;
+}
+
+// Drops sessions and tables that have gone silent.
+auto queen::sweep() -> task<void> {
+  while (true) {
+    co_await rest(h, set.beat);
+    auto now = h.now();
+    auto& mine = known.tables[set.addr];
+    auto lost = false;
+    for (auto it = guests.begin(); it != guests.end();) {
+      if (now - it->second.seen > set.lose) {
+        hive::log(grade::note, set.name, "session of " + it->first + " has ended");
+        mine.rows.erase(it->first);
+        it = guests.erase(it);
+        lost = true;
+      } else {
+        ++it;
+      }
+    }
+    if (lost) mine.ver = (boot << 32) + ++bump;
+    for (auto it = known.tables.begin(); it != known.tables.end();) {
+      if (it->first != set.addr && now - mates_seen[it->first] > set.lose) {
+        it = known.tables.erase(it);
+        lost = true;
+      } else {
+        ++it;
+      }
+    }
+    if (lost) news.wake();
+    for (auto it = grants.begin(); it != grants.end();) it = it->second.until < now ? grants.erase(it) : std::next(it);
+  }
+}
+
+auto queen::live_combs() const -> std::map<std::string, seat> {
+  auto out = std::map<std::string, seat>();
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !s.leaving && !law.leavings.count(n)) out[n] = s;
+  return out;
+}
+auto queen::loads() const -> std::map<std::string, std::int64_t> {
+  auto out = std::map<std::string, std::int64_t>();
+  for (const auto& [id, c] : law.cells) {
+    out[name_of(c.prim)] += 2;
+    if (!c.back.empty()) out[name_of(c.back)] += 1;
+  }
+  return out;
+}
+
+// The best node for a new backup: another locality, least laden (paper 3.1).
+auto queen::on_draw(const tree& t) -> tree {
+  auto zone = str(t, "zone");
+  auto bar = std::set<std::string>();
+  for (const auto& n : list(t, "not")) bar.insert(std::string(n.as_string()));
+  auto use = loads();
+  auto best = std::string();
+  auto combs = live_combs();
+  for (const auto& [n, s] : combs) {
+    if (s.zone == zone || bar.count(n)) continue;
+    auto cost = [&](const std::string& x) { return use[x] + drawn[x]; };
+    if (best.empty() || cost(n) < cost(best)) best = n;
+  }
+  if (best.empty()) throw verdict("no_room", "no comb in another locality can take a copy", ran::no, set.lose / msec);
+  ++drawn[best];
+  return branch{{"member", combs[best].member()}, {"addr", combs[best].addr}};
+}
+
+// Took hold: every node that may serve has said it serves this number or a newer one.
+auto queen::on_held(const tree& t) -> tree {
+  auto n = num(t, "number");
+  auto newest = law.law ? law.law->number : 0;
+  auto wait = twigs();
+  auto early = h.now() < book.since() + set.lease * 5 / 4;  // an older leader's leases may still run
+  for (const auto& [name, g] : grants)
+    if (g.until > h.now() && g.charter < n) wait.emplace_back(name);
+  if (early) wait.emplace_back("(leases given under an earlier leader)");
+  if (n > newest) wait.emplace_back("(the number is not accepted)");
+  return branch{{"number", n}, {"newest", newest}, {"held", wait.empty()}, {"waiting", wait}};
+}
+
+// Founds the cells of new spaces and closes leavings; only the leader acts.
+auto queen::place() -> task<void> {
+  while (true) {
+    co_await rest(h, set.beat);
+    if (!sure() || !law.law) continue;
+    drawn.clear();
+    auto combs = live_combs();
+    auto use = loads();
+    try {
+      for (const auto& [name, s] : law.law->spaces) {
+        for (auto k = std::int64_t{0}; k < s.cells; ++k) {
+          auto id = name + "/" + std::to_string(k);
+          if (auto it = law.cells.find(id); it != law.cells.end() && it->second.epoch > 0) continue;
+          auto less = [&](const seat& a, const seat& b) { return std::pair(use[a.name], a.name) < std::pair(use[b.name], b.name); };
+          auto order = std::vector<seat>();
+          for (const auto& [n, c] : combs) order.push_back(c);
+          std::sort(order.begin(), order.end(), less);
+          if (order.empty()) break;
+          auto prim = order.front();
+          auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
+          if (back == order.end()) break;
+          use[prim.name] += 2;
+          use[back->name] += 1;
+          auto d = tree(branch{{"k", "cell"}, {"id", id}, {"epoch", 0}, {"prim", prim.member()}, {"back", back->member()},
+                               {"step", twigs{prim.member(), back->member()}}, {"why", "placed"}});
+          co_await book.propose(std::move(d), h.now() + set.lose);
+          if (!sure()) break;
+        }
+      }
+      auto open = std::vector<std::string>();
+      for (const auto& [n, l] : law.leavings)
+        if (!l.done && law.held_by(n).empty()) open.push_back(n);
+      for (const auto& n : open) {
+        auto d = tree(branch{{"k", "left"}, {"name", n}});
+        co_await book.propose(std::move(d), h.now() + set.lose);
+      }
+    } catch (const verdict& v) {
+      hive::log(grade::note, set.name, std::string("placement waits: ") + v.what());
+    }
+  }
+}
+
+auto queen::wishes_for(const std::string&) const -> twigs { return {}; }
+
+// Checks that need the fleet: a kept space wants two localities of disks.
+auto queen::charters_ok(const std::string& body) const -> void {
+  auto next = compile(body);
+  auto zones = std::set<std::string>();
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !law.leavings.count(n)) zones.insert(s.zone);
+  for (const auto& [n, s] : next->spaces) {
+    if (s.keep_s == 0 || zones.size() >= 2) continue;
+    throw verdict("no_room", "space '" + n + "' is kept: that wants combs with disks in two localities, and " + std::to_string(zones.size()) + " has or have one now", ran::no, set.lose / msec);
+  }
+}
+
+auto queen::page_charter(request r) -> task<response> {
+  if (r.path == "/v1/charter/held" && r.verb == "GET") {
+    auto n = std::int64_t{0};
+    try {
+      n = std::stoll(r.query["number"]);
+    } catch (const std::exception&) {
+      throw verdict("malformed", "held wants ?number=N");
+    }
+    auto q = tree(branch{{"op", "held"}, {"number", n}});
+    auto out = co_await ask(nullptr, std::move(q));
+    co_return response{200, out, {}};
+  }
+  if (r.path != "/v1/charter") throw verdict("not_found", "no page " + r.path);
+  if (r.verb == "GET") {
+    auto q = tree(branch{{"op", "fresh"}});
+    auto out = co_await ask(nullptr, std::move(q));
+    if (!sub(out, "charter").is_string()) throw verdict("not_found", "no charter was accepted yet");
+    co_return response{200, boost::json::parse(str(out, "charter")), {}};
+  }
+  if (r.verb != "PUT" && r.verb != "POST") throw verdict("malformed", "charter takes GET and PUT");
+  auto next = compile(r.body);
+  charters_ok(r.body);
+  if (r.query["dry"] == "yes") {
+    auto fresh = twigs();
+    for (const auto& [n, s] : next->spaces)
+      for (auto k = std::int64_t{0}; k < s.cells; ++k)
+        if (auto id = n + "/" + std::to_string(k); !law.cells.count(id)) fresh.emplace_back(id);
+    co_return response{200, branch{{"dry", true}, {"number", next->number}, {"cells_to_place", fresh}}, {}};
+  }
+  auto d = tree(branch{{"k", "charter"}, {"body", r.body}});
+  auto out = co_await deed(std::move(d));
+  if (!yes(out, "ok")) throw verdict::from_tree(out);
+  co_return response{200, out, {}};
+}
+
+auto queen::page_leave(request r) -> task<response> {
+  if (r.verb == "GET") {
+    auto q = tree(branch{{"op", "fresh"}});
+    auto out = co_await ask(nullptr, std::move(q));
+    auto now = realm();
+    now.restore(sub(out, "realm"));
+    auto rows = branch();
+    for (const auto& [n, l] : now.leavings) {
+      auto left = twigs();
+      for (const auto& id : now.held_by(n)) left.emplace_back(id);
+      rows[n] = branch{{"kind", l.kind}, {"done", l.done}, {"left", left}};
+    }
+    co_return response{200, rows, {}};
+  }
+  auto ec = boost::json::error_code();
+  auto t = boost::json::parse(r.body, ec);
+  if (ec || !t.is_object()) throw verdict("malformed", "the body is no JSON object");
+  for (const auto& kv : t.get_object())
+    if (kv.key() != "name" && kv.key() != "kind") throw verdict("malformed", "unknown field " + std::string(kv.key()));
+  if (!sub(t, "name").is_string()) throw verdict("malformed", "name is missing");
+  auto name = str(t, "name");
+  auto kind = str_or(t, "kind", "drain");
+  if (kind != "drain" && kind != "evacuate" && kind != "retire") throw verdict("malformed", "kind is drain, evacuate or retire");
+  if (r.path == "/v1/stay") {
+    auto d = tree(branch{{"k", "stay"}, {"name", name}});
+    auto out = co_await deed(std::move(d));
+    if (!yes(out, "ok")) throw verdict::from_tree(out);
+    co_return response{200, out, {}};
+  }
+  auto known_here = false;
+  for (const auto& [id, c] : law.cells) known_here |= name_of(c.prim) == name || name_of(c.back) == name;
+  if (const auto* s = known.find(name); s && s->kind == "comb") known_here = true;
+  if (!known_here && !law.leavings.count(name)) throw verdict("not_found", "no comb " + name + " is known");
+  auto d = tree(branch{{"k", "leave"}, {"name", name}, {"kind", kind}});
+  auto out = co_await deed(std::move(d));
+  if (!yes(out, "ok")) throw verdict::from_tree(out);
+  co_return response{200, out, {}};
+}
+
+auto queen::page(request r) -> task<response> {
+  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (r.path == "/readyz") {
+    if (book.leads() ? sure() : !book.leader().empty()) co_return response{200, {}, "ready\n"};
+    throw verdict("no_leader", "no ledger leader is in reach", ran::no, set.lose / msec);
+  }
+  if (r.path == "/status") co_return response{200, status(), {}};
+  if (r.path == "/ring") co_return response{200, {}, ring_text()};
+  if (r.path == "/v1/members") {
+    auto rows = twigs();
+    for (const auto& [q, t] : known.tables)
+      for (const auto& [n, s] : t.rows) {
+        auto o = s.to_tree();
+        o.as_object()["queen"] = q;
+        rows.push_back(o);
+      }
+    co_return response{200, rows, {}};
+  }
+  if (r.path == "/v1/cells") {
+    auto q = tree(branch{{"op", "fresh"}});
+    auto out = co_await ask(nullptr, std::move(q));
+    co_return response{200, sub(sub(out, "realm"), "cells"), {}};
+  }
+  if (r.path.compare(0, 11, "/v1/charter") == 0) co_return co_await page_charter(std::move(r));
+  if (r.path == "/v1/leave" || r.path == "/v1/stay") co_return co_await page_leave(std::move(r));
+  throw verdict("not_found", "no page " + r.path);
+}
+
+auto queen::leave(tick limit) -> task<void> { co_await book.yield(limit); }
+
+auto queen::status() const -> tree {
+  auto mem = twigs();
+  for (const auto& [n, s] : known.all()) mem.emplace_back(n);
+  auto cells = branch();
+  for (const auto& [id, c] : law.cells) cells[id] = c.to_tree();
+  auto away = branch();
+  for (const auto& [n, l] : law.leavings) away[n] = branch{{"kind", l.kind}, {"done", l.done}};
+  return branch{{"kind", "queen"}, {"name", set.name}, {"zone", set.zone}, {"ledger", book.stand()},
+                {"charter", law.law ? law.law->number : 0}, {"members", mem}, {"cells", cells}, {"leavings", away},
+                {"sessions", guests.size()}};
+}
+
+}  // namespace hive
--- /dev/null
+++ b/queen/queen.hpp
@@ -0,0 +1,70 @@
+// The control node: ledger, sessions, placement, the operators' door (design 5).
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "ledger/ledger.hpp"
+#include "queen/realm.hpp"
+#include "scout/view.hpp"
+#include "wax/http.hpp"
+
+namespace hive {
+
+class queen {
+ public:
+  queen(host& h, const config& c);
+  ~queen();
+  [[nodiscard]] auto status() const -> tree;
+  auto page(request r) -> task<response>;
+  [[nodiscard]] auto leads() const -> bool { return book.leads(); }
+  auto reload(const config& c) -> void { set = c; }
+  auto leave(tick limit) -> task<void>;  // gives up the lead first
+  realm law;
+  ledger book;
+
+ private:
+  struct guest {  // a session that stands here
+    seat row;
+    tick seen = 0;
+    std::int64_t charter = 0;
+    tick grant = 0;  // until when the leader lets this queen give it a lease
+  };
+  struct grant {  // at the leader: who may hold a lease, and what it serves
+    tick until = 0;
+    std::int64_t charter = 0;
+  };
+  auto ask(wire_ptr w, tree t) -> task<tree>;
+  auto on_session(tree t) -> task<tree>;
+  auto on_swap(const tree& t) -> tree;
+  auto on_draw(const tree& t) -> tree;
+  auto on_held(const tree& t) -> tree;
+  auto to_leader(tree t) -> task<tree>;
+  auto deed(tree d) -> task<tree>;
+  auto swaps(std::string addr) -> task<void>;
+  auto sweep() -> task<void>;
+  auto place() -> task<void>;
+  auto refresh() -> void;  // the ledger moved: bring the view up to it
+  [[nodiscard]] auto sure() const -> bool;
+  auto charters_ok(const std::string& body) const -> void;
+  [[nodiscard]] auto live_combs() const -> std::map<std::string, seat>;
+  auto loads() const -> std::map<std::string, std::int64_t>;
+  auto wishes_for(const std::string& name) const -> twigs;
+  auto page_charter(request r) -> task<response>;
+  auto page_leave(request r) -> task<response>;
+
+  host& h;
+  config set;
+  view known;
+  std::map<std::string, guest> guests;
+  std::map<std::string, grant> grants;
+  std::map<std::string, tick> mates_seen;
+  std::map<std::string, std::int64_t> drawn;
+  std::int64_t grant_need = 0, grant_cells = 0, boot = 0, bump = 0;
+  signal news;
+  std::map<std::string, std::string> wish;  // cell -> comb that should become its backup
+  nest home;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/queen/realm.cpp
@@ -0,0 +1,179 @@
+#include "queen/realm.hpp"
+
+#include <algorithm>
+
+#include "wax/verdict.hpp"
+
+namespace hive {
+
+auto name_of(const std::string& m) -> std::string { return m.substr(0, m.find('/')); }
+
+auto cell_row::to_tree() const -> tree {
+  auto s = twigs();
+  for (const auto& m : step) s.emplace_back(m);
+  return branch{{"epoch", epoch}, {"prim", prim}, {"back", back}, {"step", s}, {"idx", idx}, {"why", why}};
+}
+auto cell_row::from_tree(const tree& t) -> cell_row {
+  auto r = cell_row{num(t, "epoch"), str(t, "prim"), str(t, "back"), {}, num_or(t, "idx", 0), str_or(t, "why")};
+  for (const auto& m : list(t, "step")) r.step.emplace_back(m.as_string());
+  return r;
+}
+auto cell_row::in_step(const std::string& m) const -> bool {
+  return std::find(step.begin(), step.end(), m) != step.end();
+}
+auto cell_row::holds(const std::string& m) const -> bool { return prim == m || back == m || in_step(m); }
+
+auto realm::held_by(const std::string& name) const -> std::vector<std::string> {
+  auto out = std::vector<std::string>();
+  for (const auto& [id, c] : cells) {
+    auto hit = name_of(c.prim) == name || name_of(c.back) == name ||
+               std::any_of(c.step.begin(), c.step.end(), [&](auto& m) { return name_of(m) == name; });
+    if (hit) out.push_back(id);
+  }
+  return out;
+}
+
+auto realm::apply(std::int64_t idx, const tree& deed) -> tree {
+  try {
+    auto k = str(deed, "k");
+    if (k == "charter") return on_charter(idx, deed);
+    if (k == "cell") return on_cell(idx, deed);
+    if (k == "leave" || k == "left" || k == "stay") return on_leave(idx, deed);
+    return verdict("malformed", "unknown deed " + k).to_tree();
+  } catch (const verdict& v) {
+    return v.to_tree();
+  } catch (const std::exception& e) {
+    return verdict("malformed", e.what()).to_tree();
+  }
+}
+
+// Whole charters by compare-and-set: a repeat changes nothing, a stale one is refused.
+auto realm::on_charter(std::int64_t idx, const tree& d) -> tree {
+  auto next = compile(str(d, "body"));
+  auto now = law ? law->number : 0;
+  if (law && next->number == now) {
+    if (boost::json::parse(next->body) == boost::json::parse(law->body)) return branch{{"ok", true}, {"number", now}, {"repeat", true}};
+    throw verdict("taken", "number " + std::to_string(now) + " is already used with other content", ran::no, -1, branch{{"newest", now}});
+  }
+  if (next->number < now) throw verdict("stale", "number " + std::to_string(next->number) + " is below the newest, " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
+  if (next->after >= 0 && next->after != now) throw verdict("stale", "it is meant to follow " + std::to_string(next->after) + ", the newest is " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
+  for (const auto& [name, s] : next->spaces) {
+    auto it = law ? law->spaces.find(name) : next->spaces.end();
+    auto had = cells.count(name + "/0") > 0;
+    auto width = std::int64_t{0};
+    while (cells.count(name + "/" + std::to_string(width))) ++width;
+    if (had && width != s.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(width) + " cells, which cannot change", ran::no, -1);
+    if (!had && law && it != law->spaces.end() && it->second.cells != s.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(it->second.cells) + " cells, which cannot change", ran::no, -1);
+  }
+  law = next;
+  law_idx = idx;
+  return branch{{"ok", true}, {"number", next->number}};
+}
+
+// One atomic claim or move: taken only at the epoch it expects, and only for who is in step.
+auto realm::on_cell(std::int64_t idx, const tree& d) -> tree {
+  auto id = str(d, "id");
+  auto& now = cells[id];
+  auto next = cell_row::from_tree(d);
+  auto no = [&](const char* why) -> tree { return branch{{"ok", false}, {"why", why}, {"row", now.to_tree()}}; };
+  if (now.epoch != next.epoch) return no("another epoch stands");
+  if (next.prim.empty() || !next.in_step(next.prim)) return no("a primary must be in step");
+  if (!next.back.empty() && name_of(next.back) == name_of(next.prim)) return no("a pair wants two nodes");
+  if (now.epoch > 0 && !now.in_step(next.prim)) return no("only a node in step may hold the cell");
+  next.epoch = now.epoch + 1;
+  next.idx = idx;
+  now = next;
+  cells_ver = idx;
+  return branch{{"ok", true}, {"row", now.to_tree()}};
+}
+
+auto realm::on_leave(std::int64_t idx, const tree& d) -> tree {
+  auto name = str(d, "name");
+  auto k = str(d, "k");
+  if (k == "leave") {
+    auto kind = str(d, "kind");
+    auto& l = leavings[name];
+    if (l.kind == kind || (l.kind == "retire")) {
+      if (l.kind != kind) throw verdict("taken", name + " is being retired already");
+      return branch{{"ok", true}, {"repeat", true}, {"done", l.done}};
+    }
+    l = {kind, false, idx};
+  } else if (k == "stay") {
+    auto it = leavings.find(name);
+    if (it == leavings.end()) return branch{{"ok", true}, {"repeat", true}};
+    if (it->second.kind == "retire" && it->second.done) throw verdict("taken", name + " is retired");
+    leavings.erase(it);
+  } else {
+    auto it = leavings.find(name);
+    if (it == leavings.end()) throw verdict("not_found", name + " is not leaving");
+    if (!held_by(name).empty()) return branch{{"ok", false}, {"why", "cells are left there"}};
+    it->second.done = true;
+  }
+  cells_ver = idx;
+  return branch{{"ok", true}};
+}
+
+auto realm::capture() const -> tree {
+  auto c = branch();
+  for (const auto& [id, r] : cells) c[id] = r.to_tree();
+  auto l = branch();
+  for (const auto& [n, v] : leavings) l[n] = branch{{"kind", v.kind}, {"done", v.done}, {"idx", v.idx}};
+  return branch{{"format", 1}, {"charter", law ? tree(law->body) : tree()}, {"law_idx", law_idx}, {"cells", c}, {"leavings", l}, {"cells_ver", cells_ver}};
+}
+
+auto realm::restore(const tree& t) -> void {
+  *this = realm();
+  if (t.is_null()) return;
+  if (num(t, "format") != 1) throw verdict("damaged", "the ledger's capture has an unknown format");
+  if (sub(t, "charter").is_string()) law = compile(str(t, "charter"));
+  law_idx = num(t, "law_idx");
+  for (const auto& kv : sub(t, "cells").as_object()) cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
+  for (const auto& kv : sub(t, "leavings").as_object())
+    leavings[std::string(kv.key())] = {str(kv.value(), "kind"), yes(kv.value(), "done"), num(kv.value(), "idx")};
+  cells_ver = num(t, "cells_ver");
+}
+
+}  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+namespace {
+auto cell(std::int64_t e, const char* p, const char* b, hive::twigs s) -> hive::tree {
+  return hive::branch{{"k", "cell"}, {"id", "a/0"}, {"epoch", e}, {"prim", p}, {"back", b}, {"step", s}};
+}
+auto law(int n, const char* more) -> hive::tree {
+  return hive::branch{{"k", "charter"}, {"body", "{\"number\":" + std::to_string(n) + ",\"spaces\":[]" + more + "}"}};
+}
+}  // namespace
+TEST_GROUP(realm_deeds){};
+TEST(realm_deeds, one_claim_wins_and_only_in_step) {
+  auto r = hive::realm();
+  CHECK(hive::yes(r.apply(1, cell(0, "x/1", "y/1", {"x/1", "y/1"})), "ok"));
+  CHECK_FALSE(hive::yes(r.apply(2, cell(1, "z/1", "y/1", {"z/1", "y/1"})), "ok"));
+  CHECK(hive::yes(r.apply(3, cell(1, "y/1", "x/1", {"x/1", "y/1"})), "ok"));
+  CHECK_FALSE(hive::yes(r.apply(4, cell(1, "x/1", "y/1", {"x/1", "y/1"})), "ok"));
+  LONGS_EQUAL(2, r.cells["a/0"].epoch);
+  auto again = hive::realm();
+  again.restore(r.capture());
+  CHECK(again.capture() == r.capture());
+}
+TEST(realm_deeds, charters_by_compare_and_set) {
+  auto r = hive::realm();
+  CHECK(hive::yes(r.apply(1, law(5, "")), "ok"));
+  CHECK(hive::yes(r.apply(2, law(5, "")), "repeat"));
+  STRCMP_EQUAL("taken", hive::str(r.apply(3, law(5, ",\"rules\":[]")), "code").c_str());
+  STRCMP_EQUAL("stale", hive::str(r.apply(4, law(4, "")), "code").c_str());
+  STRCMP_EQUAL("stale", hive::str(r.apply(5, law(9, ",\"after\":4")), "code").c_str());
+  CHECK(hive::yes(r.apply(6, law(9, ",\"after\":5")), "ok"));
+  LONGS_EQUAL(9, r.law->number);
+}
+TEST(realm_deeds, done_is_said_only_when_nothing_is_left) {
+  auto r = hive::realm();
+  r.apply(1, cell(0, "x/1", "y/1", {"x/1", "y/1"}));
+  r.apply(2, hive::branch{{"k", "leave"}, {"name", "y"}, {"kind", "retire"}});
+  CHECK_FALSE(hive::yes(r.apply(3, hive::branch{{"k", "left"}, {"name", "y"}}), "ok"));
+  r.apply(4, cell(1, "x/1", "z/1", {"x/1", "z/1"}));
+  CHECK(hive::yes(r.apply(5, hive::branch{{"k", "left"}, {"name", "y"}}), "ok"));
+  CHECK(r.leavings["y"].done);
+}
+#endif
--- /dev/null
+++ b/queen/realm.hpp
@@ -0,0 +1,51 @@
+// What the ledger's entries add up to: charters, cells, leavings (design 4.6).
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "waggle/waggle.hpp"
+#include "wax/tree.hpp"
+
+namespace hive {
+
+// Who holds a cell. A member is "name/disk": a lost disk makes another member.
+struct cell_row {
+  std::int64_t epoch = 0;
+  std::string prim, back;
+  std::vector<std::string> step;  // the in-step set: who may claim
+  std::int64_t idx = 0;           // the ledger entry that said so
+  std::string why;
+
+  [[nodiscard]] auto to_tree() const -> tree;
+  static auto from_tree(const tree& t) -> cell_row;
+  [[nodiscard]] auto holds(const std::string& m) const -> bool;
+  [[nodiscard]] auto in_step(const std::string& m) const -> bool;
+};
+auto name_of(const std::string& member) -> std::string;
+
+class realm {
+ public:
+  auto apply(std::int64_t idx, const tree& deed) -> tree;
+  [[nodiscard]] auto capture() const -> tree;
+  auto restore(const tree& t) -> void;
+
+  charter_ptr law;  // the newest accepted; null before the first
+  std::int64_t law_idx = 0;
+  std::map<std::string, cell_row> cells;
+  struct leaving {
+    std::string kind;  // drain, evacuate or retire
+    bool done = false;
+    std::int64_t idx = 0;
+  };
+  std::map<std::string, leaving> leavings;
+  std::int64_t cells_ver = 0;  // the entry that last changed cells or leavings
+  [[nodiscard]] auto held_by(const std::string& name) const -> std::vector<std::string>;
+
+ private:
+  auto on_charter(std::int64_t idx, const tree& d) -> tree;
+  auto on_cell(std::int64_t idx, const tree& d) -> tree;
+  auto on_leave(std::int64_t idx, const tree& d) -> tree;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/scout/session.cpp
@@ -0,0 +1,71 @@
+#include "scout/session.hpp"
+
+#include "wax/ring.hpp"
+
+namespace hive {
+
+session::session(host& hh, const config& c, std::vector<std::string> d)
+    : h(hh), set(c), doors(std::move(d)), home(hh) {
+  at = h.below(doors.size());
+  me.name = c.name;
+  me.zone = c.zone;
+  me.addr = c.addr;
+  me.web = c.web;
+  home.spawn(run());
+}
+
+auto session::run() -> task<void> {
+  auto good = h.now();  // when this door last gave a lease
+  while (!gone) {
+    if (!line) line = std::make_unique<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
+    auto sent = h.now();
+    auto wait = set.beat / 4;
+    try {
+      auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", known.vec()},
+                           {"charter", serving ? serving() : known.law ? known.law->number : 0}});
+      auto r = co_await line->ask(std::move(q), sent + set.lose);
+      if (gone) break;
+      auto left = num_or(r, "lease", 0);
+      auto had = leased();
+      if (left > 0) {
+        until = std::max(until, sent + left);
+        least = std::max(least, num_or(r, "need", 0));
+        if (!ever) cells_need = num_or(r, "cells_need", 0);
+        ever = true;
+        good = h.now();
+      }
+      const auto& w = list(r, "wish");
+      auto moved = known.merge(r) || w != wish;
+      wish = w;
+      if (moved || had != leased()) news.wake();
+    } catch (const verdict&) {
+      wait = set.beat;
+    }
+    if (h.now() - good > set.lose * 2 && doors.size() > 1) {
+      at = (at + 1) % doors.size();
+      line.reset();
+      good = h.now();
+    }
+    co_await rest(h, wait);
+  }
+}
+
+auto session::ask(tree t, tick limit) -> task<tree> {
+  if (!line) throw verdict("away", "no session stands", ran::no, set.beat / msec);
+  co_return co_await line->ask(std::move(t), limit);
+}
+auto session::propose(tree deed, tick limit) -> task<tree> {
+  auto q = tree(branch{{"op", "deed"}, {"deed", std::move(deed)}});
+  co_return co_await ask(std::move(q), limit);
+}
+auto session::leave(tick limit) -> task<void> {
+  gone = true;
+  until = 0;
+  auto q = tree(branch{{"op", "bye"}, {"name", me.name}});
+  try {
+    co_await ask(std::move(q), limit);
+  } catch (const verdict&) {
+  }
+}
+
+}  // namespace hive
--- /dev/null
+++ b/scout/session.hpp
@@ -0,0 +1,51 @@
+// A node's session: signs of life one way, lease and news the other (design 5.1).
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "scout/view.hpp"
+#include "wax/colleague.hpp"
+#include "wax/config.hpp"
+
+namespace hive {
+
+class session {
+ public:
+  // `doors`: where a session can stand; the next is tried when one is silent or gives no lease.
+  session(host& h, const config& c, std::vector<std::string> doors);
+  seat me;
+  view known;
+  signal news;  // something in `known`, or the lease, has changed
+
+  [[nodiscard]] auto leased() const -> bool { return until > h.now(); }
+  [[nodiscard]] auto lease_left() const -> tick { return std::max<tick>(0, until - h.now()); }
+  [[nodiscard]] auto need() const -> std::int64_t { return least; }
+  // Served by the newest charter that a majority could have promised anyone.
+  [[nodiscard]] auto may_serve() const -> bool { return leased() && known.law && known.law->number >= least; }
+  // What the majority has answered since this start: nothing older may be acted on.
+  [[nodiscard]] auto fresh() const -> bool { return ever && known.cells_ver >= cells_need; }
+  auto ask(tree t, tick limit) -> task<tree>;  // a request to the control plane
+  auto propose(tree deed, tick limit) -> task<tree>;
+  auto leave(tick limit) -> task<void>;  // says that this node serves no more
+  [[nodiscard]] auto door() const -> std::string { return doors[at]; }
+  [[nodiscard]] auto wishes() const -> const twigs& { return wish; }
+  std::function<std::int64_t()> serving;  // the number reported; by default the one known
+  bool gone = false;
+
+ private:
+  auto run() -> task<void>;
+  host& h;
+  config set;
+  std::vector<std::string> doors;
+  std::size_t at = 0;
+  tick until = 0;
+  std::int64_t least = 0, cells_need = 0;
+  bool ever = false;
+  twigs wish;
+  std::unique_ptr<colleague> line;
+  nest home;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/scout/view.hpp
@@ -0,0 +1,41 @@
+// What a node has pulled of the system's state, one version per source (design 5.2).
+#pragma once
+#include <map>
+#include <string>
+
+#include "queen/realm.hpp"
+#include "waggle/waggle.hpp"
+
+namespace hive {
+
+struct seat {  // a member: a node whose session with a control node stands
+  std::string name, kind, zone, addr, web, disk;
+  bool ready = false, leaving = false;
+  std::int64_t usage = 0;
+  [[nodiscard]] auto to_tree() const -> tree;
+  static auto from_tree(const tree& t) -> seat;
+  [[nodiscard]] auto member() const -> std::string { return name + "/" + disk; }
+};
+
+class view {
+ public:
+  struct table {
+    std::int64_t ver = 0;
+    std::map<std::string, seat> rows;
+  };
+  charter_ptr law;
+  std::map<std::string, cell_row> cells;
+  std::map<std::string, realm::leaving> leavings;
+  std::int64_t cells_ver = 0;
+  std::map<std::string, table> tables;  // by the queen whose sessions they are
+
+  [[nodiscard]] auto vec() const -> tree;
+  // What one who holds `vec` lacks; an empty map if nothing.
+  [[nodiscard]] auto lacks(const tree& vec) const -> branch;
+  // Takes in such a map; versions only go up. Returns whether anything was new.
+  auto merge(const tree& t) -> bool;
+  [[nodiscard]] auto find(const std::string& name) const -> const seat*;
+  [[nodiscard]] auto all() const -> std::map<std::string, seat>;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/swarm/fleet.cpp
@@ -0,0 +1,263 @@
+#include "swarm/fleet.hpp"
+
+#include <algorithm>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+namespace {
+
+tick* shown_clock = nullptr;
+
+}  // namespace
+
+fleet::fleet(std::uint64_t s, shape sh) : world(s), form(std::move(sh)), seed(s) {
+  shown_clock = &world.clock;
+  ring_clock([] { return shown_clock ? 1700000000000 + *shown_clock / msec : 0; });
+  world.loss = form.loss;
+  auto& out = world.machine_at("outside", "out");
+  for (auto i = 1; i <= form.queens; ++i) seeds.push_back(world.machine_at("q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1)).ip + ":7000");
+  while (seeds.size() < 3) seeds.push_back("10.9.9." + std::to_string(seeds.size() + 1) + ":7000");
+  for (auto i = 1; i <= form.queens; ++i) add("queen", "queen-" + std::to_string(i), "q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1));
+  for (auto i = 1; i <= form.combs; ++i) add_comb();
+  for (auto i = 1; i <= form.foragers; ++i) {
+    auto n = std::to_string(i), z = "z" + std::to_string((i - 1) % form.zones + 1);
+    add("scout", "scout-" + n, "f" + n, z);
+    add("forager", "forager-" + n, "f" + n, z);
+  }
+  outside = std::make_unique<sim_host>(world, out, false, seed * 7919 + 13);
+  outside->cost = 1;
+  desk = std::make_unique<nest>(*outside);
+}
+
+fleet::~fleet() {
+  callers.clear();
+  boss.reset();
+  spread.reset();
+  desk.reset();
+  while (!all.empty()) {
+    kill(all.begin()->first);
+    all.erase(all.begin());
+  }
+  outside.reset();
+  ring_clock(nullptr);
+  shown_clock = nullptr;
+}
+
+auto fleet::config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const -> config {
+  auto flags = form.set;
+  flags["name"] = name;
+  flags["zone"] = zone;
+  flags["seeds"] = seeds[0] + "," + seeds[1] + "," + seeds[2];
+  if (kind == "queen" || kind == "comb") flags["addr"] = m.ip + ":7000";
+  if (kind != "scout") flags["web"] = m.ip + ":8000";
+  if (kind == "scout" || kind == "forager") flags["feed"] = m.ip + ":7001";
+  auto faults = std::vector<fault>();
+  auto n = needs();
+  n.addr = false;
+  auto c = read_config("", flags, n, faults);
+  if (!faults.empty()) throw verdict("settings", faults[0].key + ": " + faults[0].why);
+  return c;
+}
+
+auto fleet::add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone) -> void {
+  auto& m = world.machine_at(box, zone);
+  m.sync_cost = form.sync;
+  auto p = std::make_unique<process>();
+  p->kind = kind;
+  p->name = name;
+  p->box = &m;
+  p->set = config_for(kind, name, zone, m);
+  if (kind == "forager") webs.push_back(p->set.web);
+  if (kind == "queen") queen_webs.push_back(p->set.web);
+  all[name] = std::move(p);
+}
+
+auto fleet::add_comb() -> std::string {
+  auto i = 1;
+  while (all.count("comb-" + std::to_string(i))) ++i;
+  auto n = std::to_string(i);
+  add("comb", "comb-" + n, "c" + n, "z" + std::to_string((i - 1) % form.zones + 1));
+  return "comb-" + n;
+}
+
+auto fleet::start(const std::string& name) -> void {
+  auto& p = *all.at(name);
+  if (p.up() || !p.box->on) return;
+  auto disk = p.kind == "queen" || p.kind == "comb";
+  p.h = std::make_unique<sim_host>(world, *p.box, disk, seed * 1000003 + ++births);
+  if (p.kind == "queen") p.q = std::make_unique<queen>(*p.h, p.set);
+  if (p.kind == "comb") p.c = std::make_unique<comb>(*p.h, p.set);
+  if (p.kind == "scout") p.s = std::make_unique<scout>(*p.h, p.set);
+  if (p.kind == "forager") p.f = std::make_unique<forager>(*p.h, p.set);
+  p.extra = std::make_unique<nest>(*p.h);
+}
+
+auto fleet::kill(const std::string& name) -> void {
+  auto& p = *all.at(name);
+  if (!p.up()) return;
+  p.extra.reset();
+  p.f.reset();
+  p.s.reset();
+  p.c.reset();
+  p.q.reset();
+  p.h.reset();
+}
+
+auto fleet::term(const std::string& name, tick grace) -> void {
+  auto& p = *all.at(name);
+  if (!p.up()) return;
+  auto born = births;
+  p.extra->spawn([](process& one, air& w, tick g, fleet& f, std::uint64_t) -> task<void> {
+    auto end = one.h->now() + g;
+    if (one.q) co_await one.q->leave(end);
+    if (one.c) co_await one.c->leave(end);
+    if (one.f) co_await one.f->leave(end);
+    if (one.s) co_await one.s->leave(end);
+    auto n = one.name;
+    auto* host_now = one.h.get();
+    w.later(w.clock + msec, [&f, n, host_now] {
+      if (f.all.at(n)->h.get() == host_now) f.kill(n);
+    });
+  }(p, world, grace, *this, born));
+  auto* host_now = p.h.get();
+  world.later(world.clock + grace + sec, [this, name, host_now] {
+    if (all.at(name)->h.get() == host_now) kill(name);
+  });
+}
+
+auto fleet::freeze(const std::string& name, bool on) -> void {
+  if (auto& p = *all.at(name); p.up()) p.h->frozen = on;
+}
+
+auto fleet::power(const std::string& where, bool on) -> void {
+  for (auto& [n, m] : world.machines) {
+    if (n == "outside" || (n != where && m->zone != where && where != "all")) continue;
+    m->on = on;
+  }
+  for (auto& [n, p] : all) {
+    if (!p->box->on) kill(n);
+    else if (on) start(n);
+  }
+}
+
+auto fleet::lose_disk(const std::string& name) -> void { all.at(name)->box->solid.clear(); }
+
+auto fleet::flip_bits(const std::string& name, int n) -> void {
+  auto& d = all.at(name)->box->solid;
+  for (auto i = 0; i < n; ++i) {
+    auto rows = std::vector<std::string>();
+    for (auto& [k, v] : d)
+      if (k.compare(0, 2, "C/") == 0 && !v.empty()) rows.push_back(k);
+    if (rows.empty()) return;
+    auto& v = d[rows[world.dice() % rows.size()]];
+    auto bit = world.dice() % (v.size() * 8);
+    v[bit / 8] = static_cast<char>(v[bit / 8] ^ (1 << (bit % 8)));
+  }
+}
+
+auto fleet::primary_of(const std::string& cell) const -> std::string {
+  for (const auto& [n, p] : all)
+    if (p->c)
+      if (const auto* c = p->c->cell_at(cell); c && c->live()) return n;
+  return {};
+}
+auto fleet::backup_of(const std::string& cell) const -> std::string {
+  for (const auto& [n, p] : all)
+    if (p->c)
+      if (const auto* c = p->c->cell_at(cell); c && c->live()) return name_of(str_or(c->stand(), "back"));
+  return {};
+}
+auto fleet::busiest() const -> std::string {
+  auto best = std::string();
+  auto most = std::int64_t{-1};
+  for (const auto& [n, p] : all)
+    if (p->c && !p->h->frozen) {
+      auto use = std::int64_t{0};
+      auto now = p->c->status();
+      for (const auto& kv : sub(now, "cells").as_object()) use += str_or(kv.value(), "role") == "primary";
+      if (use > most) {
+        most = use;
+        best = n;
+      }
+    }
+  return best;
+}
+auto fleet::leader() const -> std::string {
+  for (const auto& [n, p] : all)
+    if (p->q && p->q->leads()) return n;
+  return {};
+}
+auto fleet::names(const std::string& what) const -> std::vector<std::string> {
+  auto out = std::vector<std::string>();
+  for (const auto& [n, p] : all)
+    if (n == what || p->kind == what || p->box->zone == what || what == "all" || p->box->name == what) out.push_back(n);
+  return out;
+}
+
+auto fleet::operate(std::function<task<void>(keeper&)> fn) -> void {
+  ++operating;
+  desk->spawn([](fleet& f, std::function<task<void>(keeper&)> run) -> task<void> {
+    co_await run(*f.boss);
+    --f.operating;
+  }(*this, std::move(fn)));
+}
+
+auto fleet::next_charter() -> std::string { return probe_charter(++number, form.spaces); }
+
+auto fleet::begin() -> bool {
+  for (auto& [n, p] : all) start(n);
+  spread = std::make_unique<platform>(*outside, webs);
+  boss = std::make_unique<keeper>(*outside, queen_webs, webs, log);
+  auto spaces = boost::json::parse("[" + form.spaces + "]");
+  for (const auto& s : spaces.as_array()) log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
+  auto ok = std::make_shared<bool>(false);
+  auto body = next_charter();
+  operate([ok, body](keeper& k) -> task<void> {
+    for (auto i = 0; i < 40 && !*ok; ++i) *ok = co_await k.put(1, body);
+    if (*ok) *ok = co_await k.await_held(1, 60 * sec);
+  });
+  auto end = world.clock + 60 * sec;
+  while (operating && world.clock < end) world.run(world.clock + 100 * msec);
+  if (!*ok) return false;
+  // Cells must stand before callers are judged by time.
+  auto topics = std::vector<std::string>();
+  for (auto i = 1; i <= form.topics; ++i) topics.push_back((i % 2 ? "alerts/t" : "lookups/t") + std::to_string(i));
+  for (auto i = 1; i <= form.callers; ++i) {
+    auto p = caller::plan();
+    p.name = "caller-" + std::to_string(i);
+    for (auto k = 0; k < 3; ++k) {
+      auto t = topics[static_cast<std::size_t>((i * 3 + k * 2) % form.topics)];
+      if (std::find(p.hear.begin(), p.hear.end(), t) == p.hear.end()) p.hear.push_back(t);
+    }
+    p.tell = {topics[static_cast<std::size_t>(i % form.topics)], topics[static_cast<std::size_t>((i * 5 + 1) % form.topics)]};
+    p.every = form.every;
+    p.drop = form.drop;
+    callers.push_back(std::make_unique<caller>(*outside, *spread, log, p));
+  }
+  world.run(world.clock + 3 * sec);
+  return true;
+}
+
+auto fleet::reset_links(double share) -> void {
+  for (auto& c : callers)
+    if (std::uniform_real_distribution<>(0, 1)(world.dice) < share) c->reset();
+}
+
+auto fleet::finish(tick quiet) -> void {
+  for (auto& c : callers) c->hush();
+  world.run(world.clock + quiet);
+  auto ok = std::make_shared<bool>(false);
+  auto due = world.clock + 20 * sec;
+  operate([ok, due](keeper& k) -> task<void> {
+    while (!*ok && due > 0) {
+      *ok = co_await k.read_back(due);
+      if (!*ok) break;
+    }
+  });
+  while (operating && world.clock < due + 10 * sec) world.run(world.clock + 100 * msec);
+  if (!*ok) log.note(*outside, branch{{"e", "newest"}, {"number", 0}});
+  log.note(*outside, branch{{"e", "end"}, {"quiet", quiet / msec}});
+}
+
+}  // namespace hive
--- /dev/null
+++ b/swarm/fleet.hpp
@@ -0,0 +1,86 @@
+// A simulated fleet: machines, the processes on them, the stand-ins outside (design 9.2).
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "comb/comb.hpp"
+#include "forager/forager.hpp"
+#include "meadow/caller.hpp"
+#include "queen/queen.hpp"
+#include "scout/scout.hpp"
+#include "swarm/air.hpp"
+
+namespace hive {
+
+struct shape {
+  std::int64_t zones = 3, queens = 3, combs = 3, foragers = 3, callers = 12, topics = 6;
+  tick every = 400 * msec, drop = 6 * sec;
+  double loss = 0;
+  tick sync = 3 * msec;
+  std::string spaces = R"({"name":"alerts","keep_s":35,"urgency":9,"cells":2},{"name":"lookups","keep_s":0,"urgency":1,"cells":2})";
+  std::map<std::string, std::string> set;  // settings laid over the defaults
+};
+
+class fleet {
+ public:
+  // One process and its clock; ending it ends all that it held.
+  struct process {
+    std::string kind, name;
+    machine* box = nullptr;
+    config set;
+    std::unique_ptr<sim_host> h;
+    std::unique_ptr<queen> q;
+    std::unique_ptr<comb> c;
+    std::unique_ptr<scout> s;
+    std::unique_ptr<forager> f;
+    std::unique_ptr<nest> extra;
+    [[nodiscard]] auto up() const -> bool { return h != nullptr; }
+  };
+
+  fleet(std::uint64_t seed, shape sh);
+  ~fleet();
+  auto start(const std::string& name) -> void;
+  auto kill(const std::string& name) -> void;   // SIGKILL
+  auto term(const std::string& name, tick grace) -> void;  // SIGTERM, then SIGKILL
+  auto freeze(const std::string& name, bool on) -> void;
+  auto power(const std::string& machine_or_zone, bool on) -> void;
+  auto lose_disk(const std::string& name) -> void;
+  auto flip_bits(const std::string& name, int n) -> void;
+  [[nodiscard]] auto primary_of(const std::string& cell) const -> std::string;
+  [[nodiscard]] auto backup_of(const std::string& cell) const -> std::string;
+  [[nodiscard]] auto busiest() const -> std::string;
+  [[nodiscard]] auto leader() const -> std::string;
+  [[nodiscard]] auto combs_of(const std::string& zone) const -> std::vector<std::string>;
+  auto names(const std::string& kind_or_zone) const -> std::vector<std::string>;
+  auto add_comb() -> std::string;
+  // Runs an operator's task to its end on the simulated clock.
+  auto operate(std::function<task<void>(keeper&)> fn) -> void;
+  auto begin() -> bool;   // all processes up, the first charter held, callers linked
+  auto finish(tick quiet) -> void;  // callers stop, all is read back
+  auto reset_links(double share) -> void;
+  auto next_charter() -> std::string;
+
+  air world;
+  shape form;
+  history log;
+  std::map<std::string, std::unique_ptr<process>> all;
+  std::unique_ptr<sim_host> outside;
+  std::unique_ptr<platform> spread;
+  std::vector<std::unique_ptr<caller>> callers;
+  std::unique_ptr<keeper> boss;
+  std::unique_ptr<nest> desk;
+  std::vector<std::string> webs, queen_webs;
+  std::int64_t number = 0;
+  int operating = 0;
+  std::uint64_t claims = 0;
+
+ private:
+  auto config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const -> config;
+  auto add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone) -> void;
+  std::vector<std::string> seeds;
+  std::uint64_t births = 0, seed;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# The one test command: builds twice (plain, and under ASan and UBSan) and runs all tests in both.
+set -euo pipefail
+cd "$(dirname "$0")"
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
+cmake -S . -B build-asan -G Ninja -DHIVE_SANITIZE=ON >/dev/null
+cmake --build build-asan --target tests swarm
+ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
+ctest --test-dir build --output-on-failure -j "$(nproc)"
--- /dev/null
+++ b/tests.cpp
@@ -0,0 +1,8 @@
+// The runner of the types' own tests.
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+auto main(int argc, char** argv) -> int {
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  return CommandLineTestRunner::RunAllTests(argc, argv);
+}
--- /dev/null
+++ b/waggle/waggle.cpp
@@ -0,0 +1,353 @@
+#include "waggle/waggle.hpp"
+
+#include <boost/property_tree/json_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <cctype>
+#include <set>
+#include <sstream>
+
+#include "wax/verdict.hpp"
+
+namespace hive {
+namespace {
+
+using boost::property_tree::ptree;
+
+// Words of one rule, each with its column.
+struct word {
+  std::string text;
+  std::size_t col;
+};
+auto words(const std::string& s) -> std::vector<word> {
+  auto out = std::vector<word>();
+  for (auto i = std::size_t{0}; i < s.size();) {
+    if (std::isspace(static_cast<unsigned char>(s[i]))) {
+      ++i;
+    } else if (s[i] == ',') {
+      out.push_back({",", i++ + 1});
+    } else {
+      auto from = i;
+      while (i < s.size() && s[i] != ',' && !std::isspace(static_cast<unsigned char>(s[i]))) ++i;
+      out.push_back({s.substr(from, i - from), from + 1});
+    }
+  }
+  return out;
+}
+
+// rule  := ("allow" | "deny") acts "on" pattern ["for" pattern] ["under" number]
+//        | "route" pattern "to" pattern
+// acts  := act {"," act};  act := "publish" | "subscribe" | "read" | "all"
+class parser {
+ public:
+  parser(const std::string& s, std::vector<step>& to) : row(words(s)), out(to) {}
+  auto run() -> void {  // throws std::string: the fault with its column
+    auto first = take("a rule");
+    if (first == "route") return route();
+    if (first != "allow" && first != "deny") fail("'" + first + "' opens no rule: allow, deny or route does");
+    auto tests = std::vector<std::size_t>();
+    auto test = [&](step s) {
+      tests.push_back(out.size());
+      out.push_back(std::move(s));
+    };
+    test({step::kind::doing, {}, {}, acts(), 0});
+    expect("on");
+    test({step::kind::topic, pattern(), {}, 0, 0});
+    if (peek() == "for") {
+      take("for");
+      test({step::kind::caller, pattern(), {}, 0, 0});
+    }
+    if (peek() == "under") {
+      take("under");
+      auto n = take("a number of bytes");
+      if (n.empty() || n.size() > 7 || n.find_first_not_of("0123456789") != std::string::npos) fail("'" + n + "' is no number of bytes");
+      test({step::kind::size, {}, {}, std::stoll(n), 0});
+    }
+    end();
+    out.push_back({first == "allow" ? step::kind::allow : step::kind::deny, {}, {}, 0, 0});
+    for (auto i : tests) out[i].skip = out.size();
+  }
+
+ private:
+  [[noreturn]] auto fail(const std::string& why) const -> void {
+    auto col = at == 0 ? 1 : row[at - 1].col;
+    throw "column " + std::to_string(col) + ": " + why;
+  }
+  [[nodiscard]] auto peek() const -> std::string { return at < row.size() ? row[at].text : ""; }
+  auto take(const std::string& what) -> std::string {
+    if (at >= row.size()) fail("ends where " + what + " should stand");
+    return row[at++].text;
+  }
+  auto expect(const std::string& w) -> void {
+    if (auto got = take("'" + w + "'"); got != w) fail("'" + got + "' stands where '" + w + "' should");
+  }
+  auto end() -> void {
+    if (at < row.size()) {
+      ++at;
+      fail("'" + row[at - 1].text + "' is too much");
+    }
+  }
+  auto acts() -> std::int64_t {
+    auto mask = std::int64_t{0};
+    while (true) {
+      auto w = take("an act");
+      if (w == "publish") mask |= 1;
+      else if (w == "subscribe") mask |= 2;
+      else if (w == "read") mask |= 4;
+      else if (w == "all") mask |= 7;
+      else fail("'" + w + "' is no act: publish, subscribe, read, all");
+      if (peek() != ",") return mask;
+      take(",");
+    }
+  }
+  auto pattern() -> std::string {
+    auto w = take("a pattern");
+    for (auto c : w)
+      if (!std::isalnum(static_cast<unsigned char>(c)) && !strchr("-_./*:", c)) fail("'" + w + "' is no pattern");
+    return w;
+  }
+  auto route() -> void {
+    auto from = pattern();
+    expect("to");
+    auto to = pattern();
+    end();
+    auto stars = [](const std::string& s) { return std::count(s.begin(), s.end(), '*'); };
+    if (stars(from) != stars(to) || stars(from) > 1 || (stars(from) == 1 && (from.back() != '*' || to.back() != '*')))
+      fail("a route wants '*' at the end of both sides, or on neither");
+    out.push_back({step::kind::route, from, to, 0, out.size() + 1});
+  }
+  std::vector<word> row;
+  std::size_t at = 0;
+  std::vector<step>& out;
+};
+
+struct reader {
+  std::vector<fault_at> faults;
+  auto bad(std::string place, std::string why) -> void { faults.push_back({std::move(place), std::move(why)}); }
+
+  // Keys: each known, none twice (the property tree keeps repeats apart).
+  auto keys(const ptree& t, const std::string& place, const std::set<std::string>& known) -> void {
+    auto seen = std::set<std::string>();
+    for (const auto& [k, v] : t) {
+      if (!known.count(k)) bad(place + k, "is no key known here");
+      else if (!seen.insert(k).second) bad(place + k, "is repeated");
+    }
+  }
+  auto whole(const tree& t, const std::string& place, const std::string& key, std::int64_t low,
+             std::int64_t high, std::int64_t other, bool must) -> std::int64_t {
+    const auto& v = sub(t, key);
+    if (v.is_null() && !t.as_object().contains(key)) {
+      if (must) bad(place + key, "is missing");
+      return other;
+    }
+    if (!v.is_int64()) {
+      bad(place + key, "wants a whole number");
+      return other;
+    }
+    if (v.get_int64() < low || v.get_int64() > high) {
+      bad(place + key, std::to_string(v.get_int64()) + " is outside " + std::to_string(low) + " to " + std::to_string(high));
+      return other;
+    }
+    return v.get_int64();
+  }
+};
+
+auto good_name(const std::string& s) -> bool {
+  if (s.empty() || s.size() > 64) return false;
+  for (auto c : s)
+    if (!std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '_' && c != '.') return false;
+  return true;
+}
+
+}  // namespace
+
+auto compile(const std::string& body) -> charter_ptr {
+  auto out = std::make_shared<charter>();
+  auto r = reader();
+  auto p = ptree();
+  auto t = tree();
+  try {
+    auto in = std::istringstream(body);
+    boost::property_tree::read_json(in, p);
+    auto ec = boost::json::error_code();
+    t = boost::json::parse(body, ec);
+    if (ec) r.bad("charter", ec.message());
+  } catch (const boost::property_tree::json_parser_error& e) {
+    r.bad("line " + std::to_string(e.line()), e.message());
+  }
+  if (r.faults.empty() && !t.is_object()) r.bad("charter", "is no JSON object");
+  if (r.faults.empty()) {
+    r.keys(p, "", {"number", "after", "spaces", "rules"});
+    out->number = r.whole(t, "", "number", 1, 1LL << 52, 0, true);
+    out->after = r.whole(t, "", "after", 0, 1LL << 52, -1, false);
+    if (!sub(t, "spaces").is_array()) {
+      r.bad("spaces", "wants a list of spaces");
+    } else {
+      auto pt = p.get_child("spaces");
+      auto pi = pt.begin();
+      auto i = 0;
+      for (const auto& s : list(t, "spaces")) {
+        auto place = "spaces[" + std::to_string(i++) + "].";
+        const auto& ps = (pi++)->second;
+        if (!s.is_object()) {
+          r.bad(place, "is no space");
+          continue;
+        }
+        r.keys(ps, place, {"name", "keep_s", "urgency", "cells"});
+        auto one = space();
+        if (!sub(s, "name").is_string()) r.bad(place + "name", "wants a string");
+        else one.name = str(s, "name");
+        if (sub(s, "name").is_string() && !good_name(one.name)) r.bad(place + "name", "wants 1 to 64 letters, digits, '-', '_', '.'");
+        one.keep_s = r.whole(s, place, "keep_s", 0, 7 * 86400, 0, true);
+        one.urgency = r.whole(s, place, "urgency", 0, 9, 0, false);
+        one.cells = r.whole(s, place, "cells", 1, 64, 4, false);
+        if (!out->spaces.emplace(one.name, one).second) r.bad(place + "name", "'" + one.name + "' is the name of two spaces");
+      }
+      if (list(t, "spaces").size() > 64) r.bad("spaces", "more than 64");
+    }
+    auto lines = std::vector<std::string>();
+    if (const auto& rules = sub(t, "rules"); rules.is_null() && !t.as_object().contains("rules")) {
+      lines.push_back("allow all on *");
+    } else if (!rules.is_array()) {
+      r.bad("rules", "wants a list of strings");
+    } else {
+      auto i = 0;
+      for (const auto& l : rules.get_array()) {
+        auto place = "rules[" + std::to_string(i++) + "]";
+        if (!l.is_string()) r.bad(place, "wants a string");
+        else lines.emplace_back(l.get_string());
+      }
+      if (lines.size() > 1000) r.bad("rules", "more than 1000");
+    }
+    for (auto i = 0U; i < lines.size(); ++i) {
+      try {
+        parser(lines[i], out->rules).run();
+      } catch (const std::string& why) {
+        r.bad("rules[" + std::to_string(i) + "]", why);
+      }
+    }
+    for (const auto& s : out->rules) {
+      if (s.what != step::kind::route) continue;
+      auto head = s.more.substr(0, s.more.find('/'));
+      if (!out->spaces.count(head)) r.bad("rules", "route to '" + s.more + "': no space '" + head + "'");
+    }
+  }
+  if (!r.faults.empty()) {
+    auto rows = twigs();
+    auto why = std::string();
+    for (const auto& f : r.faults) {
+      rows.push_back(branch{{"place", f.place}, {"why", f.why}});
+      why += (why.empty() ? "" : "; ") + f.place + ": " + f.why;
+    }
+    throw verdict("bad_charter", why, ran::no, -1, rows);
+  }
+  out->body = body;
+  return out;
+}
+
+// '*' stands for any run of characters.
+auto like(const std::string& pat, const std::string& word) -> bool {
+  auto p = std::size_t{0}, w = std::size_t{0}, star = std::string::npos, mark = std::size_t{0};
+  while (w < word.size()) {
+    if (p < pat.size() && pat[p] == '*') {
+      star = p++;
+      mark = w;
+    } else if (p < pat.size() && pat[p] == word[w]) {
+      ++p;
+      ++w;
+    } else if (star != std::string::npos) {
+      p = star + 1;
+      w = ++mark;
+    } else {
+      return false;
+    }
+  }
+  while (p < pat.size() && pat[p] == '*') ++p;
+  return p == pat.size();
+}
+
+auto charter::judge(act a, const std::string& caller, const std::string& topic, std::size_t bytes) const -> ruling {
+  auto out = ruling{false, topic, "no rule allows it"};
+  for (auto i = std::size_t{0}; i < rules.size();) {
+    const auto& s = rules[i];
+    auto pass = true;
+    switch (s.what) {
+      case step::kind::doing: pass = (s.num & static_cast<std::int64_t>(a)) != 0; break;
+      case step::kind::topic: pass = like(s.arg, out.topic); break;
+      case step::kind::caller: pass = like(s.arg, caller); break;
+      case step::kind::size: pass = bytes < static_cast<std::size_t>(s.num); break;
+      case step::kind::route:
+        if (like(s.arg, out.topic)) {
+          auto star = s.arg.find('*');
+          out.topic = star == std::string::npos ? s.more : s.more.substr(0, s.more.size() - 1) + out.topic.substr(star);
+        }
+        break;
+      case step::kind::allow: out.ok = true; return out;
+      case step::kind::deny: out.why = "a rule denies it"; return out;
+    }
+    i = pass ? i + 1 : s.skip;
+  }
+  return out;
+}
+
+auto charter::space_of(const std::string& topic) const -> const space* {
+  auto it = spaces.find(topic.substr(0, topic.find('/')));
+  return it == spaces.end() ? nullptr : &it->second;
+}
+
+auto good_topic(const std::string& t) -> bool {
+  auto at = t.find('/');
+  if (at == std::string::npos || at == 0 || at + 1 >= t.size() || t.size() > 200) return false;
+  for (auto c : t)
+    if (!std::isalnum(static_cast<unsigned char>(c)) && !strchr("-_./:", c)) return false;
+  return true;
+}
+
+auto hash64(const std::string& s) -> std::uint64_t {
+  auto h = std::uint64_t{1469598103934665603ULL};
+  for (auto c : s) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  h ^= h >> 32;
+  return h * 0x9E3779B97F4A7C15ULL;
+}
+
+auto cell_of(const space& s, const std::string& topic) -> std::string {
+  return s.name + "/" + std::to_string((hash64(topic) >> 16) % static_cast<std::uint64_t>(s.cells));
+}
+
+}  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+namespace {
+auto faults_of(const std::string& body) -> std::string {
+  try {
+    hive::compile(body);
+    return "none";
+  } catch (const hive::verdict& v) {
+    return v.why;
+  }
+}
+}  // namespace
+TEST_GROUP(waggle_rules){};
+TEST(waggle_rules, first_match_decides) {
+  auto c = hive::compile(R"({"number":1,"spaces":[{"name":"a","keep_s":35},{"name":"b","keep_s":0}],
+    "rules":["deny publish on a/secret/* for guest-*","route old/* to b/*","allow publish, subscribe on a/*","allow publish on b/* under 10"]})");
+  CHECK(c->judge(hive::act::publish, "k", "a/secret/1", 1).ok);
+  CHECK_FALSE(c->judge(hive::act::publish, "guest-1", "a/secret/1", 1).ok);
+  CHECK(c->judge(hive::act::subscribe, "guest-1", "a/secret/1", 1).ok);
+  CHECK_FALSE(c->judge(hive::act::read, "k", "a/x", 1).ok);
+  auto r = c->judge(hive::act::publish, "k", "old/x", 9);
+  CHECK(r.ok);
+  STRCMP_EQUAL("b/x", r.topic.c_str());
+  CHECK_FALSE(c->judge(hive::act::publish, "k", "old/x", 10).ok);
+}
+TEST(waggle_rules, faults_name_place_and_reason) {
+  STRCMP_EQUAL("none", faults_of(R"({"number":1,"spaces":[]})").c_str());
+  STRCMP_CONTAINS("number: is repeated", faults_of(R"({"number":1,"number":2,"spaces":[]})").c_str());
+  STRCMP_CONTAINS("shape: is no key", faults_of(R"({"number":1,"shape":2,"spaces":[]})").c_str());
+  STRCMP_CONTAINS("number: wants a whole number", faults_of(R"({"number":"1","spaces":[]})").c_str());
+  STRCMP_CONTAINS("spaces[0].keep_s: 9999999 is outside", faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":9999999}]})").c_str());
+  STRCMP_CONTAINS("rules[0]: column 7: 'shout' is no act", faults_of(R"({"number":1,"spaces":[],"rules":["allow shout on *"]})").c_str());
+  STRCMP_CONTAINS("no space 'c'", faults_of(R"({"number":1,"spaces":[],"rules":["route a/* to c/*"]})").c_str());
+  STRCMP_CONTAINS("line 1", faults_of("{").c_str());
+}
+#endif
--- /dev/null
+++ b/wax/colleague.cpp
@@ -0,0 +1,181 @@
+#include "wax/colleague.hpp"
+
+#include "wax/ring.hpp"
+
+namespace hive {
+
+auto frame(const tree& t) -> std::string {
+  auto body = pack(t);
+  auto n = body.size();
+  auto head = std::string(4, '\0');
+  for (auto i = 0U; i < 4; ++i) head[i] = static_cast<char>(n >> (8 * i));
+  return head + body;
+}
+
+auto unframe(std::string& in, std::size_t& used) -> std::optional<tree> {
+  if (in.size() - used < 4) return {};
+  auto n = std::size_t{0};
+  for (auto i = 0U; i < 4; ++i)
+    n |= static_cast<std::size_t>(static_cast<unsigned char>(in[used + i])) << (8 * i);
+  if (n > frame_most) throw bad_bytes("a frame of " + std::to_string(n) + " bytes");
+  if (in.size() - used < 4 + n) return {};
+  auto t = unpack(std::string_view(in).substr(used + 4, n));
+  if (!t.is_object()) throw bad_bytes("a frame that is no map");
+  used += 4 + n;
+  return t;
+}
+
+namespace {
+
+// Reads frames in order until the link ends; a malformed one ends it (issue: bad input).
+auto frames(link_ptr way, std::function<void(const tree&)> fn, std::string me) -> task<void> {
+  try {
+    while (true) {
+      auto used = std::size_t{0};
+      while (!way->shut || !way->in.empty()) {
+        auto t = unframe(way->in, used);
+        if (!t) break;
+        fn(*t);
+      }
+      way->in.erase(0, used);
+      way->eaten();
+      auto live = co_await way->more();
+      if (!live) break;
+    }
+  } catch (const bad_bytes& e) {
+    log(grade::warn, me, "malformed frame from " + way->from + ": " + e.what());
+  }
+  way->close();
+}
+
+auto reply(wire_ptr w, std::int64_t id, tree t, std::function<task<tree>(wire_ptr, tree)> fn)
+    -> task<void> {
+  auto out = branch{{"r", id}};
+  try {
+    auto v = co_await fn(w, std::move(t));
+    out["v"] = std::move(v);
+  } catch (const verdict& e) {
+    out["e"] = e.to_tree();
+  } catch (const std::exception& e) {
+    out["e"] = verdict("malformed", e.what()).to_tree();
+  }
+  w->tell(out);
+}
+
+auto guest(host& h, nest& home, link_ptr way, answers a, std::string me) -> task<void> {
+  auto w = std::make_shared<wire>(way);
+  auto fn = [&h, &home, w, a, me](const tree& t) {
+    auto op = str_or(t, "op");
+    if (op == "hello") {
+      w->who = str_or(t, "me");
+    } else if (op == "beat") {
+      w->tell(branch{{"op", "beaten"}, {"n", sub(t, "n")}});
+    } else if (auto id = num_or(t, "q", -1); id >= 0) {
+      home.spawn(reply(w, id, t, a.ask));
+    } else if (a.note) {
+      a.note(w, t);
+    }
+  };
+  co_await frames(way, fn, me);
+  if (a.gone) a.gone(w);
+}
+
+}  // namespace
+
+auto serve(host& h, nest& home, std::unique_ptr<door> d, answers a, std::string me) -> task<void> {
+  while (true) {
+    auto way = co_await d->knocks.pop(h);
+    home.spawn(guest(h, home, way, a, me));
+  }
+}
+
+colleague::colleague(host& hh, ways w) : h(hh), set(std::move(w)), home(hh) {
+  home.spawn(run());
+}
+
+auto colleague::run() -> task<void> {
+  auto wait = set.beat;
+  while (true) {
+    auto way = co_await h.dial(set.addr, h.now() + set.lose);
+    if (way) {
+      auto w = std::make_shared<wire>(way);
+      w->tell(branch{{"op", "hello"}, {"me", set.me}});
+      line = w;
+      last = h.now();
+      home.spawn(beats(w));
+      // Up only after the first round trip: a one-way cut must not pass for a link.
+      auto fn = [this](const tree& t) { take(t); };
+      co_await frames(way, fn, set.me);
+      if (on) wait = set.beat;
+      fall();
+    }
+    co_await rest(h, h.spread(wait));
+    wait = std::min(wait * 2, set.lose);
+  }
+}
+
+auto colleague::beats(wire_ptr w) -> task<void> {
+  while (w->live() && line == w) {
+    w->tell(branch{{"op", "beat"}, {"n", h.now()}});
+    co_await rest(h, set.beat);
+    if (h.now() - last > set.lose) {
+      w->drop();
+      break;
+    }
+  }
+}
+
+auto colleague::take(const tree& t) -> void {
+  last = h.now();
+  if (!on) {
+    on = true;
+    if (on_turn) on_turn(true);
+  }
+  if (auto id = num_or(t, "r", -1); id >= 0) {
+    auto it = open.find(id);
+    if (it == open.end()) return;
+    it->second->out = t;
+    it->second->done.wake();
+    return;
+  }
+  if (str_or(t, "op") != "beaten" && on_note) on_note(t);
+}
+
+auto colleague::fall() -> void {
+  line.reset();
+  for (auto& [id, s] : open) {
+    s->lost = true;
+    s->done.wake();
+  }
+  open.clear();
+  if (on) {
+    on = false;
+    if (on_turn) on_turn(false);
+  }
+}
+
+auto colleague::tell(const tree& t) -> bool {
+  if (!on || !line || !line->live()) return false;
+  line->tell(t);
+  return true;
+}
+
+auto colleague::ask(tree t, tick until) -> task<tree> {
+  if (!on || !line || !line->live())
+    throw verdict("away", set.addr + " is not reached", ran::no, set.beat / msec);
+  auto id = ++count;
+  auto s = std::make_shared<slot>();
+  open[id] = s;
+  t.as_object()["q"] = id;
+  line->tell(t);
+  while (!s->out && !s->lost) {
+    auto in_time = co_await s->done.wait(h, until);
+    if (!in_time) break;
+  }
+  open.erase(id);
+  if (!s->out) throw verdict("unclear", set.addr + " did not answer", ran::maybe, set.beat / msec);
+  if (const auto& e = sub(*s->out, "e"); e.is_object()) throw verdict::from_tree(e);
+  co_return sub(*s->out, "v");
+}
+
+}  // namespace hive
--- /dev/null
+++ b/wax/colleague.hpp
@@ -0,0 +1,83 @@
+// Links between our own processes: framed CBOR, requests and notes (design 3.3).
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "wax/host.hpp"
+#include "wax/verdict.hpp"
+
+namespace hive {
+
+constexpr auto frame_most = std::size_t{8} << 20;
+
+auto frame(const tree& t) -> std::string;
+// Takes one whole frame off the front of `in`, if there; throws bad_bytes on a malformed one.
+auto unframe(std::string& in, std::size_t& used) -> std::optional<tree>;
+
+// One standing link, either side of it. Held by shared_ptr; may outlive its link.
+class wire {
+ public:
+  explicit wire(link_ptr l) : way(std::move(l)) {}
+  auto tell(const tree& t) -> void {
+    if (way && !way->shut) way->send(frame(t));
+  }
+  [[nodiscard]] auto live() const -> bool { return way && !way->shut; }
+  [[nodiscard]] auto owed() const -> std::size_t { return way ? way->owed() : 0; }
+  auto drop() -> void {
+    if (way) way->close();
+  }
+  std::string who;  // the name the other side gave in its hello
+  link_ptr way;
+};
+using wire_ptr = std::shared_ptr<wire>;
+
+// What a process answers its colleagues.
+struct answers {
+  std::function<task<tree>(wire_ptr, tree)> ask;    // a request; the tree is the reply
+  std::function<void(const wire_ptr&, const tree&)> note;  // one-way, in order of sending
+  std::function<void(const wire_ptr&)> gone;        // the link ended
+};
+
+// Accepts colleagues' links and serves them until the nest ends.
+auto serve(host& h, nest& home, std::unique_ptr<door> d, answers a, std::string me) -> task<void>;
+
+// A link that is dialled again whenever it falls. Liveness is a round trip:
+// a beat unanswered for `lose` ends the link.
+class colleague {
+ public:
+  struct ways {
+    std::string me, addr;
+    tick beat, lose;
+  };
+  colleague(host& h, ways w);
+  auto ask(tree t, tick until) -> task<tree>;  // throws verdict
+  auto tell(const tree& t) -> bool;            // false: no link now
+  [[nodiscard]] auto up() const -> bool { return on; }
+  [[nodiscard]] auto heard() const -> tick { return last; }
+  [[nodiscard]] auto addr() const -> const std::string& { return set.addr; }
+  std::function<void(const tree&)> on_note;
+  std::function<void(bool)> on_turn;  // came up or went down
+  wire_ptr line;
+
+ private:
+  struct slot {
+    signal done;
+    std::optional<tree> out;
+    bool lost = false;
+  };
+  auto run() -> task<void>;
+  auto beats(wire_ptr w) -> task<void>;
+  auto take(const tree& t) -> void;
+  auto fall() -> void;
+  host& h;
+  ways set;
+  bool on = false;
+  tick last = 0;
+  std::int64_t count = 0;
+  std::map<std::int64_t, std::shared_ptr<slot>> open;
+  nest home;
+};
+
+}  // namespace hive
--- /dev/null
+++ b/wax/config.cpp
@@ -0,0 +1,218 @@
+#include "wax/config.hpp"
+
+#include <arpa/inet.h>
+#include <popt.h>
+
+#include <boost/algorithm/string.hpp>
+#include <boost/property_tree/info_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <charconv>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <set>
+
+namespace hive {
+namespace {
+
+struct key {
+  const char* name;
+  const char* help;
+  std::function<std::string(config&, const std::string&)> set;  // empty: taken
+};
+
+auto whole(const std::string& s, std::int64_t low, std::int64_t high, std::int64_t& out)
+    -> std::string {
+  auto v = std::int64_t{0};
+  auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), v);
+  if (ec != std::errc() || end != s.data() + s.size()) return "'" + s + "' is no whole number";
+  if (v < low || v > high)
+    return s + " is outside " + std::to_string(low) + " to " + std::to_string(high);
+  out = v;
+  return {};
+}
+
+auto span(tick config::*field, std::int64_t low, std::int64_t high, tick unit) {
+  return [=](config& c, const std::string& s) {
+    auto v = std::int64_t{0};
+    auto why = whole(s, low, high, v);
+    if (why.empty()) c.*field = v * unit;
+    return why;
+  };
+}
+auto word(std::string config::*field) {
+  return [=](config& c, const std::string& s) -> std::string {
+    if (s.empty() || s.size() > 64) return "wants 1 to 64 characters";
+    for (auto ch : s)
+      if (!isalnum(static_cast<unsigned char>(ch)) && ch != '-' && ch != '_' && ch != '.')
+        return "'" + s + "' has a character other than letters, digits, '-', '_', '.'";
+    c.*field = s;
+    return {};
+  };
+}
+auto place(std::string config::*field) {
+  return [=](config& c, const std::string& s) -> std::string {
+    if (!good_addr(s)) return "'" + s + "' is no IP:PORT";
+    c.*field = s;
+    return {};
+  };
+}
+auto flag(bool config::*field) {
+  return [=](config& c, const std::string& s) -> std::string {
+    if (s != "yes" && s != "no") return "'" + s + "' is neither yes nor no";
+    c.*field = s == "yes";
+    return {};
+  };
+}
+
+auto keys() -> const std::vector<key>& {
+  static const auto all = std::vector<key>{
+      {"name", "this process's name, unlike any other's", word(&config::name)},
+      {"zone", "the locality it stands in", word(&config::zone)},
+      {"addr", "IP:PORT for colleagues", place(&config::addr)},
+      {"web", "IP:PORT for callers and operators (HTTP)", place(&config::web)},
+      {"feed", "loopback IP:PORT between scout and forager", place(&config::feed)},
+      {"data", "the data folder",
+       [](config& c, const std::string& s) -> std::string {
+         if (s.empty()) return "is empty";
+         c.data = s;
+         return {};
+       }},
+      {"seeds", "three IP:PORT of queens, with commas between",
+       [](config& c, const std::string& s) -> std::string {
+         auto row = std::vector<std::string>();
+         boost::split(row, s, boost::is_any_of(","));
+         if (row.size() != 3) return "wants three addresses, has " + std::to_string(row.size());
+         for (const auto& a : row)
+           if (!good_addr(a)) return "'" + a + "' is no IP:PORT";
+         if (std::set<std::string>(row.begin(), row.end()).size() != 3) return "repeats an address";
+         c.seeds = row;
+         return {};
+       }},
+      {"beat_ms", "between signs of life", span(&config::beat, 10, 5000, msec)},
+      {"lose_ms", "silence after which a colleague counts as lost",
+       span(&config::lose, 100, 60000, msec)},
+      {"lease_ms", "how long a charter lease lasts", span(&config::lease, 100, 60000, msec)},
+      {"budget_ms", "for one request inside the system", span(&config::budget, 50, 60000, msec)},
+      {"resend_s", "repeats of a publish are known at least so long",
+       span(&config::resend, 1, 3600, sec)},
+      {"lag_ms", "replay lag above which a primary is slowed", span(&config::lag, 10, 60000, msec)},
+      {"body_bytes", "most bytes of one message", span(&config::body, 64, 1 << 20, 1)},
+      {"buffer_bytes", "most bytes of one log buffer or slow reader",
+       span(&config::buffer, 1 << 16, 1 << 28, 1)},
+      {"links_most", "most downstream links", span(&config::links, 1, 100000, 1)},
+      {"slowing", "gradual slowing of a primary whose backup lags: yes or no",
+       flag(&config::slowing)},
+      {"drag_us", "replay time added to each entry, to try a slow backup", span(&config::drag, 0, 1000000, 1)},
+      {"echo", "log lines to stderr too: yes or no", flag(&config::echo)},
+  };
+  return all;
+}
+
+}  // namespace
+
+auto good_addr(const std::string& a) -> bool {
+  auto at = a.rfind(':');
+  if (at == std::string::npos) return false;
+  auto ip = a.substr(0, at);
+  auto port = std::int64_t{0};
+  auto raw = in_addr();
+  return inet_pton(AF_INET, ip.c_str(), &raw) == 1 &&
+         whole(a.substr(at + 1), 1, 65535, port).empty();
+}
+
+auto read_config(const std::string& file, const std::map<std::string, std::string>& flags,
+                 const needs& n, std::vector<fault>& faults) -> config {
+  auto c = config();
+  auto given = std::map<std::string, std::string>();
+  if (!file.empty()) {
+    try {
+      auto t = boost::property_tree::ptree();
+      boost::property_tree::read_info(file, t);
+      for (const auto& [k, v] : t) {
+        if (!v.empty()) faults.push_back({k, "holds a block, wants a value"});
+        else if (!given.emplace(k, v.data()).second) faults.push_back({k, "is given twice"});
+      }
+    } catch (const boost::property_tree::info_parser_error& e) {
+      faults.push_back({"settings", e.message() + " at " + file + ":" + std::to_string(e.line())});
+      return c;
+    }
+  }
+  for (const auto& [k, v] : flags) given[k] = v;
+  for (const auto& k : keys()) {
+    auto it = given.find(k.name);
+    if (it == given.end()) continue;
+    if (auto why = k.set(c, it->second); !why.empty()) faults.push_back({k.name, why});
+    given.erase(it);
+  }
+  for (const auto& [k, v] : given) faults.push_back({k, "is no key of the settings"});
+  auto need = [&](bool on, const std::string& val, const char* k) {
+    auto named = std::any_of(faults.begin(), faults.end(), [&](auto& f) { return f.key == k; });
+    if (on && val.empty() && !named) faults.push_back({k, "is missing"});
+  };
+  need(true, c.name, "name");
+  need(n.zone, c.zone, "zone");
+  need(n.addr, c.addr, "addr");
+  need(n.web, c.web, "web");
+  need(n.feed, c.feed, "feed");
+  need(n.data, c.data, "data");
+  need(true, c.seeds.empty() ? "" : "x", "seeds");
+  if (c.beat * 4 > c.lose) faults.push_back({"beat_ms", "must be at most a quarter of lose_ms"});
+  return c;
+}
+
+auto open_main(int argc, const char** argv, const std::string& about, const needs& n) -> start {
+  auto out = start();
+  auto opts = std::vector<poptOption>();
+  auto vals = std::vector<char*>(keys().size() + 1, nullptr);
+  opts.push_back({"config", 'c', POPT_ARG_STRING, &vals[0], 0, "settings file", "FILE"});
+  for (auto i = 0U; i < keys().size(); ++i)
+    opts.push_back({keys()[i].name, '\0', POPT_ARG_STRING, &vals[i + 1], 0, keys()[i].help, "VALUE"});
+  opts.push_back({nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr});
+  opts.push_back({nullptr, '\0', 0, nullptr, 0, nullptr, nullptr});
+  using context = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>;
+  auto ctx = context(poptGetContext(nullptr, argc, argv, opts.data(), 0), &poptFreeContext);
+  poptSetOtherOptionHelp(ctx.get(), ("- " + about).c_str());
+  auto faults = std::vector<fault>();
+  if (auto r = poptGetNextOpt(ctx.get()); r < -1)
+    faults.push_back({poptBadOption(ctx.get(), 0), poptStrerror(r)});
+  if (const auto* left = poptGetArg(ctx.get())) faults.push_back({left, "is no flag"});
+  for (auto i = 0U; i < vals.size(); ++i) {
+    if (!vals[i]) continue;
+    if (i == 0) out.file = vals[0];
+    else out.flags[keys()[i - 1].name] = vals[i];
+    free(vals[i]);
+  }
+  out.set = read_config(out.file, out.flags, n, faults);
+  if (!faults.empty()) {
+    for (const auto& f : faults) std::cerr << f.key << ": " << f.why << '\n';
+    std::exit(2);
+  }
+  return out;
+}
+
+}  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+TEST_GROUP(config_keys){};
+TEST(config_keys, every_fault_is_named) {
+  auto faults = std::vector<hive::fault>();
+  hive::read_config("", {{"name", "a b"}, {"addr", "1.2.3:4"}, {"seeds", "127.0.0.1:1"},
+                         {"beat_ms", "soon"}, {"shape", "round"}},
+                    {}, faults);
+  auto named = std::string();
+  for (auto& f : faults) named += f.key + " ";
+  STRCMP_EQUAL("name addr seeds beat_ms shape zone ", named.c_str());
+}
+TEST(config_keys, good_ones_are_taken) {
+  auto faults = std::vector<hive::fault>();
+  auto c = hive::read_config(
+      "", {{"name", "q1"}, {"zone", "z1"}, {"addr", "127.0.0.1:71"}, {"lose_ms", "3000"},
+           {"seeds", "127.0.0.1:71,127.0.0.1:72,127.0.0.1:73"}},
+      {}, faults);
+  CHECK(faults.empty());
+  LONGS_EQUAL(3 * hive::sec, c.lose);
+  LONGS_EQUAL(3, c.seeds.size());
+}
+#endif
--- /dev/null
+++ b/wax/evhost.cpp
@@ -0,0 +1,317 @@
+#include "wax/evhost.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <leveldb/db.h>
+#include <leveldb/write_batch.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+
+#include "wax/ring.hpp"
+#include "wax/verdict.hpp"
+
+namespace hive {
+namespace {
+
+class fd {
+ public:
+  explicit fd(int n) : n(n) {}
+  fd(fd&& o) noexcept : n(std::exchange(o.n, -1)) {}
+  auto operator=(fd&&) -> fd& = delete;
+  ~fd() {
+    if (n >= 0) ::close(n);
+  }
+  [[nodiscard]] auto get() const -> int { return n; }
+
+ private:
+  int n;
+};
+
+// A libev watcher that stops when its holder ends.
+class watch {
+ public:
+  watch(struct ev_loop* l, int f, int events, std::function<void(int)> fn)
+      : base(l), fn(std::move(fn)) {
+    ev_io_init(&io, &watch::hit, f, events);
+    io.data = this;
+    if (events) ev_io_start(base, &io);
+  }
+  watch(const watch&) = delete;
+  auto operator=(const watch&) -> watch& = delete;
+  ~watch() { ev_io_stop(base, &io); }
+  auto want(int events) -> void {
+    if ((io.events & (EV_READ | EV_WRITE)) == events && ev_is_active(&io)) return;
+    ev_io_stop(base, &io);
+    ev_io_set(&io, io.fd, events);
+    if (events) ev_io_start(base, &io);
+  }
+
+ private:
+  static auto hit(struct ev_loop*, ev_io* w, int events) -> void {
+    static_cast<watch*>(w->data)->fn(events);
+  }
+  struct ev_loop* base;
+  ev_io io{};
+  std::function<void(int)> fn;
+};
+
+auto to_sock(const std::string& a) -> sockaddr_in {
+  auto at = a.rfind(':');
+  auto out = sockaddr_in();
+  out.sin_family = AF_INET;
+  out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(a.substr(at + 1))));
+  inet_pton(AF_INET, a.substr(0, at).c_str(), &out.sin_addr);
+  return out;
+}
+auto from_sock(const sockaddr_in& s) -> std::string {
+  char buf[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &s.sin_addr, buf, sizeof buf);
+  return std::string(buf) + ":" + std::to_string(ntohs(s.sin_port));
+}
+auto fresh_sock() -> int { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+
+constexpr auto in_most = std::size_t{16} << 20;  // twice the largest frame
+
+class ev_link : public link {
+ public:
+  ev_link(evhost& h, fd s) : link(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int e) { stirred(e); }) {
+    auto one = 1;
+    setsockopt(sock.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  }
+  ~ev_link() override {
+    if (!out.empty()) flush();
+  }
+  auto send(std::string_view bytes) -> void override {
+    if (shut || ending) return;
+    out.append(bytes);
+    flush();
+  }
+  auto close() -> void override {
+    if (shut) return;
+    ending = true;
+    flush();
+    ::shutdown(sock.get(), out.empty() ? SHUT_RDWR : SHUT_RD);
+    end();
+  }
+  [[nodiscard]] auto owed() const -> std::size_t override { return out.size(); }
+  auto eaten() -> void override { turn(); }
+
+ private:
+  auto stirred(int e) -> void {
+    if (e & EV_WRITE) flush();
+    if (e & EV_READ) fill();
+  }
+  auto fill() -> void {
+    char buf[65536];
+    for (auto i = 0; i < 4 && !shut && in.size() < in_most; ++i) {
+      auto n = ::recv(sock.get(), buf, sizeof buf, 0);
+      if (n > 0) {
+        in.append(buf, static_cast<std::size_t>(n));
+        stir.wake();
+        if (n < static_cast<ssize_t>(sizeof buf)) break;
+      } else if (n == 0 || (errno != EAGAIN && errno != EINTR)) {
+        return end();
+      } else {
+        break;
+      }
+    }
+    turn();
+  }
+  auto flush() -> void {
+    while (!out.empty()) {
+      auto n = ::send(sock.get(), out.data(), out.size(), MSG_NOSIGNAL);
+      if (n > 0) {
+        out.erase(0, static_cast<std::size_t>(n));
+      } else if (errno == EAGAIN || errno == EINTR) {
+        break;
+      } else {
+        out.clear();
+        end();
+        return;
+      }
+    }
+    gone.wake();
+    turn();
+  }
+  auto turn() -> void {
+    if (shut) return eye.want(0);
+    eye.want((in.size() < in_most ? EV_READ : 0) | (out.empty() ? 0 : EV_WRITE));
+  }
+  auto end() -> void {
+    shut = true;
+    eye.want(0);
+    stir.wake();
+    gone.wake();
+  }
+  fd sock;
+  watch eye;
+  std::string out;
+  bool ending = false;
+};
+
+class ev_door : public door {
+ public:
+  ev_door(evhost& h, fd s) : host_(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int) { knock(); }) {}
+
+ private:
+  auto knock() -> void {
+    for (auto i = 0; i < 64; ++i) {
+      auto peer = sockaddr_in();
+      auto len = socklen_t{sizeof peer};
+      auto f = ::accept4(sock.get(), reinterpret_cast<sockaddr*>(&peer), &len,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (f < 0) break;
+      auto l = std::make_shared<ev_link>(host_, fd(f));
+      l->from = from_sock(peer);
+      knocks.push(l);
+    }
+  }
+  evhost& host_;
+  fd sock;
+  watch eye;
+};
+
+class level_store : public store {
+ public:
+  level_store(loop& l, const std::string& folder) : store(l) {
+    auto opt = leveldb::Options();
+    opt.create_if_missing = true;
+    opt.paranoid_checks = true;
+    auto* raw = static_cast<leveldb::DB*>(nullptr);
+    auto s = leveldb::DB::Open(opt, folder, &raw);
+    if (!s.ok()) throw verdict("disk", "data folder " + folder + ": " + s.ToString());
+    db.reset(raw);
+  }
+  auto get(const std::string& key) -> std::optional<std::string> override {
+    auto opt = leveldb::ReadOptions();
+    opt.verify_checksums = true;
+    auto out = std::string();
+    auto s = db->Get(opt, key, &out);
+    if (s.IsNotFound()) return {};
+    if (!s.ok()) throw bad_bytes(s.ToString());
+    return out;
+  }
+  auto scan(const std::string& head,
+            const std::function<void(const std::string&, const std::string&)>& fn) -> void override {
+    auto opt = leveldb::ReadOptions();
+    opt.verify_checksums = true;
+    auto it = std::unique_ptr<leveldb::Iterator>(db->NewIterator(opt));
+    for (it->Seek(head); it->Valid() && it->key().starts_with(head); it->Next())
+      fn(it->key().ToString(), it->value().ToString());
+    if (!it->status().ok()) throw bad_bytes(it->status().ToString());
+  }
+
+ protected:
+  auto write(std::vector<deed> row) -> task<void> override {
+    auto b = leveldb::WriteBatch();
+    for (const auto& d : row) {
+      if (d.cut) b.Delete(d.key);
+      else b.Put(d.key, d.val);
+    }
+    auto opt = leveldb::WriteOptions();
+    opt.sync = true;
+    auto s = db->Write(opt, &b);
+    if (!s.ok()) {
+      log(grade::grave, "store", s.ToString());
+      throw verdict("disk", s.ToString(), ran::maybe);
+    }
+    co_return;
+  }
+
+ private:
+  std::unique_ptr<leveldb::DB> db;
+};
+
+}  // namespace
+
+struct evhost::guts {
+  ev_timer clock{};
+  ev_signal term{}, hup{}, intr{};
+};
+
+evhost::evhost(const std::string& data) : base(ev_default_loop(0)), own(std::make_unique<guts>()) {
+  ::signal(SIGPIPE, SIG_IGN);
+  ev_timer_init(&own->clock, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);
+  auto on = [this](ev_signal& s, int n, bool hup) {
+    if (hup) ev_signal_init(&s, [](struct ev_loop*, ev_signal* w, int) { if (auto& f = static_cast<evhost*>(w->data)->on_hup) f(); }, n);
+    else ev_signal_init(&s, [](struct ev_loop*, ev_signal* w, int) { auto* h = static_cast<evhost*>(w->data); if (h->on_term) h->on_term(); else h->end(); }, n);
+    s.data = this;
+    ev_signal_start(base, &s);
+  };
+  on(own->term, SIGTERM, false);
+  on(own->intr, SIGINT, false);
+  on(own->hup, SIGHUP, true);
+  if (!data.empty()) db = std::make_unique<level_store>(*this, data);
+}
+evhost::~evhost() {
+  ev_timer_stop(base, &own->clock);
+  ev_signal_stop(base, &own->term);
+  ev_signal_stop(base, &own->intr);
+  ev_signal_stop(base, &own->hup);
+}
+auto evhost::now() const -> tick {
+  auto t = timespec();
+  clock_gettime(CLOCK_MONOTONIC, &t);
+  return t.tv_sec * sec + t.tv_nsec / 1000;
+}
+auto evhost::wall() const -> std::int64_t {
+  auto t = timespec();
+  clock_gettime(CLOCK_REALTIME, &t);
+  return t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+auto evhost::disk() -> store* { return db.get(); }
+
+auto evhost::listen(const std::string& addr) -> std::unique_ptr<door> {
+  auto s = fd(fresh_sock());
+  auto one = 1;
+  setsockopt(s.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  auto a = to_sock(addr);
+  if (::bind(s.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 || ::listen(s.get(), 1024) != 0)
+    throw verdict("listen", addr + ": " + std::strerror(errno));
+  return std::make_unique<ev_door>(*this, std::move(s));
+}
+
+auto evhost::dial(std::string addr, tick until) -> task<link_ptr> {
+  auto s = fd(fresh_sock());
+  auto a = to_sock(addr);
+  if (::connect(s.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS)
+    co_return nullptr;
+  auto up = signal();
+  auto got = false;
+  {
+    auto eye = watch(base, s.get(), EV_WRITE, [&](int) {
+      got = true;
+      up.wake();
+    });
+    while (!got) {
+      auto in_time = co_await up.wait(*this, until);
+      if (!in_time) co_return nullptr;
+    }
+  }
+  auto err = 0;
+  auto len = socklen_t{sizeof err};
+  getsockopt(s.get(), SOL_SOCKET, SO_ERROR, &err, &len);
+  if (err) co_return nullptr;
+  auto l = std::make_shared<ev_link>(*this, std::move(s));
+  l->from = addr;
+  co_return l;
+}
+
+auto evhost::run() -> void {
+  while (!over) {
+    auto work = 0;
+    while (work < 512 && !over && step()) ++work;
+    if (over) break;
+    auto at = next();
+    auto wait = at >= never ? 3600.0 : std::max<double>(0, static_cast<double>(at - now()) / sec);
+    ev_timer_stop(base, &own->clock);
+    ev_timer_set(&own->clock, wait, 0);
+    ev_timer_start(base, &own->clock);
+    ev_run(base, wait > 0 ? EVRUN_ONCE : EVRUN_NOWAIT);
+  }
+}
+
+}  // namespace hive
--- /dev/null
+++ b/wax/host.hpp
@@ -0,0 +1,114 @@
+// The seam to the machine: clock, net, disk and chance (design 3.1).
+// Two hosts exist: one on libev and LevelDB, one in the simulated fleet.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "wax/loop.hpp"
+#include "wax/task.hpp"
+#include "wax/tree.hpp"
+
+namespace hive {
+
+// A byte stream to another process.
+class link {
+ public:
+  explicit link(loop& l) : hub(l) {}
+  link(const link&) = delete;
+  auto operator=(const link&) -> link& = delete;
+  virtual ~link() = default;
+  virtual auto send(std::string_view bytes) -> void = 0;  // queued, sent at once where it fits
+  virtual auto close() -> void = 0;                       // what is queued still goes out
+  [[nodiscard]] virtual auto owed() const -> std::size_t = 0;  // queued, not yet taken by the net
+  virtual auto eaten() -> void {}                         // the reader made room
+
+  // Waits for more bytes than are in `in`; false once the stream has ended.
+  auto more(tick until = never) -> task<bool> {
+    auto had = in.size();
+    while (in.size() == had && !shut) {
+      if (!co_await stir.wait(hub, until)) co_return !shut;
+    }
+    co_return in.size() > had;
+  }
+  // Waits until less than `most` bytes are owed; false if time ran out or the stream ended.
+  auto room(std::size_t most, tick until) -> task<bool> {
+    while (!shut && owed() > most) {
+      if (!co_await gone.wait(hub, until)) co_return false;
+    }
+    co_return !shut;
+  }
+  [[nodiscard]] auto hub_now() const -> tick { return hub.now(); }
+  std::string in;
+  bool shut = false;
+  std::string from;  // the other side's address
+
+ protected:
+  loop& hub;
+  signal stir, gone;
+};
+using link_ptr = std::shared_ptr<link>;
+
+class door {  // a listening address
+ public:
+  virtual ~door() = default;
+  queue<link_ptr> knocks;
+};
+
+// Keys and values that last once synced. Writes become durable in order.
+class store {
+ public:
+  explicit store(loop& l) : hub(l) {}
+  store(const store&) = delete;
+  auto operator=(const store&) -> store& = delete;
+  virtual ~store() = default;
+  virtual auto get(const std::string& key) -> std::optional<std::string> = 0;
+  virtual auto scan(const std::string& head,
+                    const std::function<void(const std::string&, const std::string&)>& fn)
+      -> void = 0;
+  auto put(std::string key, std::string val) -> void {
+    size += key.size() + val.size();
+    next.push_back({std::move(key), std::move(val), false});
+    ++asked;
+  }
+  auto cut(std::string key) -> void {
+    next.push_back({std::move(key), {}, true});
+    ++asked;
+  }
+  // Returns when all that was put or cut before the call is durable.
+  auto sync() -> task<void>;
+  [[nodiscard]] auto broken() const -> bool { return bad; }
+  std::uint64_t syncs = 0, bytes = 0;
+
+ protected:
+  struct deed {
+    std::string key, val;
+    bool cut;
+  };
+  virtual auto write(std::vector<deed> row) -> task<void> = 0;
+  loop& hub;
+
+ private:
+  std::vector<deed> next;
+  std::uint64_t asked = 0, sure = 0;
+  std::size_t size = 0;
+  bool busy = false, bad = false;
+  signal done;
+};
+
+class host : public loop {
+ public:
+  [[nodiscard]] virtual auto wall() const -> std::int64_t = 0;  // milliseconds since 1970
+  virtual auto chance() -> std::uint64_t = 0;
+  virtual auto listen(const std::string& addr) -> std::unique_ptr<door> = 0;
+  virtual auto dial(std::string addr, tick until) -> task<link_ptr> = 0;  // null if it failed
+  virtual auto disk() -> store* = 0;  // null: this machine has none
+  auto below(std::uint64_t n) -> std::uint64_t { return n ? chance() % n : 0; }
+  // A span scattered around its middle, so that many do not act at once.
+  auto spread(tick span) -> tick {
+    return span / 2 + static_cast<tick>(below(static_cast<std::uint64_t>(span) + 1));
+  }
+};
+
+}  // namespace hive
--- /dev/null
+++ b/wax/http.cpp
@@ -0,0 +1,251 @@
+#include "wax/http.hpp"
+
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+namespace {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using boost::beast::error_code;
+
+constexpr auto line_most = std::size_t{1} << 20;
+constexpr auto idle = 60 * sec;
+
+auto decode(std::string_view s) -> std::string {
+  auto out = std::string();
+  auto hex = [](char c) { return isdigit(static_cast<unsigned char>(c)) ? c - '0' : (c | 32) - 'a' + 10; };
+  for (auto i = 0U; i < s.size(); ++i) {
+    if (s[i] == '%' && i + 2 < s.size() && isxdigit(static_cast<unsigned char>(s[i + 1])) &&
+        isxdigit(static_cast<unsigned char>(s[i + 2]))) {
+      out += static_cast<char>(hex(s[i + 1]) * 16 + hex(s[i + 2]));
+      i += 2;
+    } else {
+      out += s[i] == '+' ? ' ' : s[i];
+    }
+  }
+  return out;
+}
+
+auto split(std::string_view target, request& r) -> void {
+  auto at = target.find('?');
+  r.path = decode(target.substr(0, at));
+  if (at == std::string_view::npos) return;
+  auto rest = target.substr(at + 1);
+  while (!rest.empty()) {
+    auto end = rest.find('&');
+    auto one = rest.substr(0, end);
+    auto eq = one.find('=');
+    r.query[decode(one.substr(0, eq))] = eq == std::string_view::npos ? "" : decode(one.substr(eq + 1));
+    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+  }
+}
+
+// Feeds a parser from a link until `enough`. False: the stream ended, time ran out, or bytes were bad.
+template <class P, class F>
+auto feed(link& l, P& p, F enough, tick until, error_code& ec) -> task<bool> {
+  while (true) {
+    if (enough()) co_return true;
+    if (!l.in.empty()) {
+      auto n = p.put(asio::const_buffer(l.in.data(), l.in.size()), ec);
+      l.in.erase(0, n);
+      l.eaten();
+      if (ec && ec != http::error::need_more) co_return false;
+      auto starved = ec == http::error::need_more;
+      ec = {};
+      if (enough()) co_return true;
+      if (n > 0 && !starved) continue;
+    }
+    auto live = co_await l.more(until);
+    if (!live) {
+      if (l.shut && !p.is_done()) p.put_eof(ec);
+      co_return enough();
+    }
+    if (l.hub_now() >= until) co_return false;
+  }
+}
+
+template <bool Server>
+class http_lines : public lines {
+ public:
+  using parser = http::parser<Server, http::string_body>;
+  http_lines(host& h, link_ptr l, std::unique_ptr<parser> p) : hub(h), l(std::move(l)), p(std::move(p)) {}
+  auto next(tick until) -> task<std::optional<std::string>> override {
+    while (true) {
+      auto& b = p->get().body();
+      if (!b.empty()) {
+        buf += b;
+        b.clear();
+      }
+      if (auto at = buf.find('\n'); at != std::string::npos) {
+        auto out = buf.substr(0, at);
+        buf.erase(0, at + 1);
+        if (out.empty() || out == "\r") continue;
+        co_return out;
+      }
+      if (buf.size() > line_most) throw verdict("too_long", "a line over " + std::to_string(line_most) + " bytes");
+      if (p->is_done()) co_return std::nullopt;
+      auto ec = error_code();
+      auto some = [this] { return !p->get().body().empty() || p->is_done(); };
+      auto ok = co_await feed(*l, *p, some, until, ec);
+      if (!ok) co_return std::nullopt;
+    }
+  }
+  auto put(const tree& t) -> void override {
+    auto s = text(t) + "\n";
+    l->send(boost::beast::buffers_to_string(http::make_chunk(asio::const_buffer(s.data(), s.size()))));
+  }
+  auto end() -> void override {
+    l->send(boost::beast::buffers_to_string(http::make_chunk_last()));
+    l->close();
+  }
+  auto way() -> link& override { return *l; }
+
+ private:
+  host& hub;
+  link_ptr l;
+  std::unique_ptr<parser> p;
+  std::string buf;
+};
+
+auto answer(link& l, const response& r, bool keep) -> void {
+  auto m = http::response<http::string_body>(static_cast<http::status>(r.code), 11);
+  m.set(http::field::content_type, r.plain.empty() ? "application/json" : "text/plain");
+  if (auto back = num_or(r.body, "retry_ms", -1); back >= 0)
+    m.set(http::field::retry_after, std::to_string((back + 999) / 1000));
+  m.body() = r.plain.empty() ? text(r.body) + "\n" : r.plain;
+  m.keep_alive(keep);
+  m.prepare_payload();
+  auto out = std::ostringstream();
+  out << m;
+  l.send(out.str());
+}
+
+auto one_link(host& h, link_ptr l, pages p) -> task<void> {
+  while (true) {
+    auto r = request();
+    auto keep = false;
+    auto ps = std::make_unique<http::request_parser<http::string_body>>();
+    ps->body_limit(boost::none);
+    ps->header_limit(16 << 10);
+    auto ec = error_code();
+    auto headed = [&] { return ps->is_header_done(); };
+    auto ok = co_await feed(*l, *ps, headed, h.now() + idle, ec);
+    if (!ok) {
+      if (ec && ec != http::error::end_of_stream && ec != http::error::partial_message)
+        answer(*l, {400, verdict("bad_http", ec.message()).to_tree(), {}}, false);
+      break;
+    }
+    r.verb = std::string(ps->get().method_string());
+    split({ps->get().target().data(), ps->get().target().size()}, r);
+    if (p.stream && r.path == "/v1/link" && r.verb == "POST") {
+      auto m = http::response<http::empty_body>(http::status::ok, 11);
+      m.set(http::field::content_type, "application/x-ndjson");
+      m.chunked(true);
+      auto out = std::ostringstream();
+      out << m.base();
+      l->send(out.str());
+      auto io = std::make_shared<http_lines<true>>(h, l, std::move(ps));
+      co_await p.stream(r, io);
+      break;
+    }
+    auto whole = [&] { return ps->is_done() || ps->get().body().size() > p.body_most; };
+    ok = co_await feed(*l, *ps, whole, h.now() + idle, ec);
+    if (!ok) {
+      answer(*l, {400, verdict("bad_http", ec ? ec.message() : "body ends too early").to_tree(), {}}, false);
+      break;
+    }
+    if (!ps->is_done()) {
+      auto why = "a body over " + std::to_string(p.body_most) + " bytes";
+      answer(*l, {413, verdict("too_long", why).to_tree(), {}}, false);
+      break;
+    }
+    r.body = std::move(ps->get().body());
+    keep = ps->get().keep_alive();
+    auto out = response();
+    try {
+      out = co_await p.page(std::move(r));
+    } catch (const verdict& v) {
+      out = {code_for(v), v.to_tree(), {}};
+    } catch (const std::exception& e) {
+      out = {500, verdict("broken", e.what(), ran::maybe).to_tree(), {}};
+    }
+    answer(*l, out, keep);
+    if (!keep) break;
+  }
+  l->close();
+}
+
+}  // namespace
+
+auto code_for(const verdict& v) -> int {
+  if (v.run == ran::maybe) return 504;
+  if (v.back_ms >= 0) return 503;
+  if (v.code == "denied") return 403;
+  if (v.code == "not_found") return 404;
+  if (v.code == "stale" || v.code == "taken" || v.code == "below" || v.code == "gone") return 409;
+  if (v.code == "too_long") return 413;
+  return 400;
+}
+
+auto serve_web(host& h, nest& home, std::unique_ptr<door> d, pages p) -> task<void> {
+  while (true) {
+    auto l = co_await d->knocks.pop(h);
+    home.spawn(one_link(h, l, p));
+  }
+}
+
+auto fetch(host& h, std::string addr, std::string verb, std::string path, std::string body,
+           tick until) -> task<reply> {
+  auto out = reply();
+  auto l = co_await h.dial(addr, until);
+  if (!l) co_return out;
+  auto m = http::request<http::string_body>();
+  m.method_string(verb);
+  m.target(path);
+  m.version(11);
+  m.set(http::field::host, addr);
+  m.keep_alive(false);
+  m.body() = body;
+  m.prepare_payload();
+  auto os = std::ostringstream();
+  os << m;
+  l->send(os.str());
+  auto p = http::response_parser<http::string_body>();
+  p.body_limit(boost::none);
+  p.eager(true);
+  auto ec = error_code();
+  auto whole = [&] { return p.is_done(); };
+  auto ok = co_await feed(*l, p, whole, until, ec);
+  l->close();
+  if (!ok) co_return out;
+  out.code = static_cast<int>(p.get().result_int());
+  out.plain = p.get().body();
+  auto jec = boost::json::error_code();
+  out.body = boost::json::parse(out.plain, jec);
+  co_return out;
+}
+
+auto open_link(host& h, std::string addr, tick until) -> task<std::shared_ptr<lines>> {
+  auto l = co_await h.dial(addr, until);
+  if (!l) co_return nullptr;
+  l->send("POST /v1/link HTTP/1.1\r\nHost: " + addr + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  auto p = std::make_unique<http::response_parser<http::string_body>>();
+  p->body_limit(boost::none);
+  auto ec = error_code();
+  auto headed = [&] { return p->is_header_done(); };
+  auto ok = co_await feed(*l, *p, headed, until, ec);
+  if (!ok || p->get().result_int() != 200) co_return nullptr;
+  auto out = std::make_shared<http_lines<false>>(h, l, std::move(p));
+  co_return out;
+}
+
+}  // namespace hive
