--- /dev/null
+++ b/apiary/main.cpp
@@ -0,0 +1,214 @@
+// The operators' command line (docs/operators.md).
+#include <popt.h>
+
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+#include "waggle/waggle.hpp"
+#include "wax/config.hpp"
+#include "wax/evhost.hpp"
+#include "wax/http.hpp"
+
+namespace hive {
+namespace {
+
+enum : int { fine = 0, refused = 1, usage = 2, unreached = 3, not_yet = 4 };
+
+struct call {
+  std::vector<std::string> at, words;
+  std::string kind = "drain";
+  int wait = 0;
+  bool json = false, dry = false;
+};
+
+constexpr auto pages_text = R"(commands:
+  check FILE          compile a charter here; say every fault
+  put FILE            send a charter (--dry: check against the fleet, change nothing)
+  charter             read the newest accepted charter
+  held N              has charter N taken hold? (--wait S: until it has)
+  leave NAME          empty a comb: --kind drain, evacuate or retire (--wait S: until done)
+  stay NAME           take a leaving back, unless it is a done retirement
+  leavings            who leaves, what is left there
+  members             who has a session, and at which queen
+  cells               who holds each cell, at which epoch
+  status              what the node at --at says of itself
+  ring                the log ring of the node at --at
+
+exit: 0 done or yes, 1 refused, 2 wrong usage, 3 nobody answered (it may have run), 4 not yet
+)";
+
+auto slurp(const std::string& file) -> std::string {
+  auto in = std::ifstream(file);
+  if (!in) throw verdict("usage", file + " cannot be read");
+  auto out = std::ostringstream();
+  out << in.rdbuf();
+  return out.str();
+}
+
+class console {
+ public:
+  console(evhost& hh, call c) : h(hh), job(std::move(c)) {}
+
+  auto run() -> task<int> {
+    const auto& w = job.words;
+    auto cmd = w[0];
+    auto arg = w.size() > 1 ? w[1] : "";
+    if (cmd == "put") co_return co_await show("PUT", std::string("/v1/charter") + (job.dry ? "?dry=yes" : ""), slurp(arg));
+    if (cmd == "charter") co_return co_await show("GET", "/v1/charter", "");
+    if (cmd == "members") co_return co_await show("GET", "/v1/members", "");
+    if (cmd == "cells") co_return co_await show("GET", "/v1/cells", "");
+    if (cmd == "leavings") co_return co_await show("GET", "/v1/leave", "");
+    if (cmd == "status") co_return co_await show("GET", "/status", "");
+    if (cmd == "ring") co_return co_await show("GET", "/ring", "");
+    if (cmd == "stay") {
+      auto body = text(branch{{"name", arg}});
+      co_return co_await show("POST", "/v1/stay", body);
+    }
+    if (cmd == "held") co_return co_await poll("/v1/charter/held?number=" + arg, {}, "held");
+    auto body = text(branch{{"name", arg}, {"kind", job.kind}});
+    auto r = co_await show("POST", "/v1/leave", body);
+    if (r != fine || job.wait == 0) co_return r;
+    co_return co_await poll("/v1/leave", arg, "done");
+  }
+
+ private:
+  // Asks the doors in turn until one answers.
+  auto ask(std::string verb, std::string path, std::string body) -> task<reply> {
+    auto last = reply();
+    for (const auto& a : job.at) {
+      auto r = co_await fetch(h, a, verb, path, body, h.now() + 5 * sec);
+      if (r.code > 0 && r.code != 503) co_return r;
+      if (r.code > 0) last = r;
+    }
+    co_return last;
+  }
+  auto show(std::string verb, std::string path, std::string body) -> task<int> {
+    auto r = co_await ask(verb, path, body);
+    co_return print(r);
+  }
+  auto print(const reply& r) -> int {
+    if (r.code == 0) {
+      std::cerr << "nobody answered; the request may have run\n";
+      return unreached;
+    }
+    if (job.json || r.body.is_null()) std::cout << r.plain;
+    else lay(r.body, 0);
+    if (r.code == 200) return fine;
+    return r.code == 504 || r.code == 503 ? unreached : refused;
+  }
+  // A tree as indented lines.
+  static auto lay(const tree& t, int deep) -> void {
+    auto pad = std::string(static_cast<std::size_t>(deep) * 2, ' ');
+    auto flat = [](const tree& v) { return v.is_string() ? std::string(v.get_string()) : text(v); };
+    auto small = [](const tree& v) { return !v.is_structured() || text(v).size() < 60; };
+    if (t.is_object()) {
+      for (const auto& kv : t.get_object()) {
+        std::cout << pad << std::string(kv.key()) << ":";
+        if (small(kv.value())) std::cout << ' ' << flat(kv.value()) << '\n';
+        else {
+          std::cout << '\n';
+          lay(kv.value(), deep + 1);
+        }
+      }
+    } else if (t.is_array()) {
+      for (const auto& v : t.get_array()) std::cout << pad << "- " << flat(v) << '\n';
+    } else {
+      std::cout << pad << flat(t) << '\n';
+    }
+  }
+  auto poll(std::string path, std::string name, std::string key) -> task<int> {
+    auto end = h.now() + job.wait * sec;
+    while (true) {
+      auto r = co_await ask("GET", path, "");
+      const auto& row = name.empty() ? r.body : sub(r.body, name);
+      auto yes_now = r.code == 200 && yes(row, key);
+      if (yes_now || h.now() >= end) {
+        auto out = print(r);
+        co_return out == fine && !yes_now ? not_yet : out;
+      }
+      co_await rest(h, 200 * msec);
+    }
+  }
+  evhost& h;
+  call job;
+};
+
+}  // namespace
+}  // namespace hive
+
+auto main(int argc, const char** argv) -> int {
+  using namespace hive;
+  auto job = call();
+  auto* at = static_cast<char*>(nullptr);
+  auto* kind = static_cast<char*>(nullptr);
+  auto json = 0, dry = 0, help = 0;
+  poptOption opts[] = {{"at", 'a', POPT_ARG_STRING, &at, 0, "HTTP addresses of queens (or of one node), commas between", "IP:PORT,..."},
+                       {"kind", 'k', POPT_ARG_STRING, &kind, 0, "of a leaving: drain, evacuate, retire", "KIND"},
+                       {"wait", 'w', POPT_ARG_INT, &job.wait, 0, "seconds to wait for it", "S"},
+                       {"json", 'j', POPT_ARG_NONE, &json, 0, "print the JSON as it came", nullptr},
+                       {"dry", 'n', POPT_ARG_NONE, &dry, 0, "change nothing", nullptr},
+                       {"help", 'h', POPT_ARG_NONE, &help, 0, "this text", nullptr},
+                       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
+  auto bad = [&](const std::string& why) {
+    std::cerr << why << "\n\nusage: apiary --at IP:PORT,... COMMAND\n" << pages_text;
+    return static_cast<int>(usage);
+  };
+  if (auto r = poptGetNextOpt(ctx.get()); r < -1) return bad(std::string(poptBadOption(ctx.get(), 0)) + ": " + poptStrerror(r));
+  if (help) {
+    poptPrintHelp(ctx.get(), stdout, 0);
+    std::cout << '\n' << pages_text;
+    return fine;
+  }
+  while (const auto* w = poptGetArg(ctx.get())) job.words.emplace_back(w);
+  if (at) {
+    auto in = std::istringstream(at);
+    for (auto one = std::string(); std::getline(in, one, ',');) {
+      if (!good_addr(one)) return bad("at: '" + one + "' is no IP:PORT");
+      job.at.push_back(one);
+    }
+  }
+  if (kind) job.kind = kind;
+  job.json = json != 0;
+  job.dry = dry != 0;
+  const auto commands = std::map<std::string, std::size_t>{{"check", 1}, {"put", 1}, {"charter", 0}, {"held", 1}, {"leave", 1}, {"stay", 1},
+                                                           {"leavings", 0}, {"members", 0}, {"cells", 0}, {"status", 0}, {"ring", 0}};
+  if (job.words.empty()) return bad("no command");
+  auto it = commands.find(job.words[0]);
+  if (it == commands.end()) return bad("'" + job.words[0] + "' is no command");
+  if (job.words.size() != it->second + 1) return bad("'" + job.words[0] + "' wants " + std::to_string(it->second) + " word(s) after it");
+  try {
+    if (job.words[0] == "check") {
+      auto c = compile(slurp(job.words[1]));
+      std::cout << "charter " << c->number << ": " << c->spaces.size() << " spaces, rules compiled to " << c->rules.size() << " steps\n";
+      return fine;
+    }
+    if (job.at.empty()) return bad("at: is missing");
+    auto h = evhost("");
+    auto home = nest(h);
+    auto out = static_cast<int>(unreached);
+    auto c = console(h, job);
+    home.on_fault = [&](std::exception_ptr e) {
+      try {
+        std::rethrow_exception(e);
+      } catch (const std::exception& x) {
+        std::cerr << x.what() << '\n';
+      }
+      out = usage;
+      h.end();
+    };
+    home.spawn([](console& cc, int& o, evhost& hh) -> task<void> {
+      o = co_await cc.run();
+      hh.end();
+    }(c, out, h));
+    h.run();
+    free(at);
+    free(kind);
+    return out;
+  } catch (const verdict& v) {
+    std::cerr << v.code << ": " << v.why << '\n';
+    return v.code == "usage" ? usage : refused;
+  }
+}
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -209,13 +209,11 @@
 }
 
 auto comb::page(request r) -> task<response> {
-  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (auto p = common_page(r.path, [this] { return status(); })) co_return *p;
   if (r.path == "/readyz") {
     if (!going && ses.fresh() && ses.leased() && !h.disk()->broken()) co_return response{200, {}, "ready\n"};
     throw verdict("not_ready", going ? "leaving" : "no lease stands", ran::no, set.lose / msec);
   }
-  if (r.path == "/status") co_return response{200, status(), {}};
-  if (r.path == "/ring") co_return response{200, {}, ring_text()};
   throw verdict("not_found", "no page " + r.path);
 }
 
@@ -227,13 +225,11 @@
 auto comb::status() const -> tree {
   auto cs = branch();
   for (const auto& [id, c] : cells) cs[id] = c->stand();
-  auto mem = twigs();
-  for (const auto& [n, s] : ses.known.all()) mem.emplace_back(n);
   auto wait = std::size_t{0};
   for (const auto& l : lanes) wait += l.size();
   auto* d = h.disk();
   return branch{{"kind", "comb"}, {"name", set.name}, {"zone", set.zone}, {"member", ses.me.member()}, {"leased", ses.leased()},
-                {"charter", ses.known.law ? ses.known.law->number : 0}, {"members", mem}, {"cells", cs}, {"queued", wait},
+                {"cells", cs}, {"queued", wait}, {"beliefs", ses.known.beliefs()},
                 {"worked", worked}, {"syncs", d->syncs}, {"bytes", d->bytes}, {"disk_fails", d->broken()}};
 }
 
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -388,13 +388,11 @@
 }
 
 auto forager::page(request r) -> task<response> {
-  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (auto p = common_page(r.path, [this] { return status(); })) co_return *p;
   if (r.path == "/readyz") {
     if (ready()) co_return response{200, {}, "ready\n"};
     throw verdict("not_ready", going ? "leaving" : "no charter lease stands", ran::no, h.spread(set.lose) / msec);
   }
-  if (r.path == "/status") co_return response{200, status(), {}};
-  if (r.path == "/ring") co_return response{200, {}, ring_text()};
   if (r.path == "/v1/publish" && r.verb == "POST") {
     auto ec = boost::json::error_code();
     auto t = boost::json::parse(r.body, ec);
@@ -427,14 +425,10 @@
 auto forager::status() const -> tree {
   auto open = std::size_t{0};
   for (const auto& [sid, r] : subs) open += r.open;
-  auto cells = branch();
-  for (const auto& [id, c] : ses.known.cells) cells[id] = c.to_tree();
-  auto mem = twigs();
-  for (const auto& [n, s] : ses.known.all()) mem.emplace_back(n);
   return branch{{"kind", "forager"}, {"name", set.name}, {"zone", set.zone}, {"ready", ready()}, {"leased", ses.leased()},
-                {"charter", ses.known.law ? ses.known.law->number : 0}, {"links", links.size()}, {"subscriptions", subs.size()},
+                {"links", links.size()}, {"subscriptions", subs.size()},
                 {"open", open}, {"acked", acked}, {"refused", refused}, {"unclear", unclear}, {"delivered", delivered},
-                {"members", mem}, {"cells", cells}};
+                {"beliefs", ses.known.beliefs()}};
 }
 
 }  // namespace hive
--- /dev/null
+++ b/guard/differ.cpp
@@ -0,0 +1,100 @@
+#include "guard/differ.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace hive {
+namespace {
+
+// How long news may take from one node to another while nothing is cut (design 5.2).
+constexpr auto news_ms = std::int64_t{3000};
+
+auto show(const tree& t) -> std::string { return t.is_null() ? "nothing" : t.is_string() ? std::string(t.get_string()) : text(t); }
+
+auto keys(const tree& a, const tree& b) -> std::set<std::string> {
+  auto out = std::set<std::string>();
+  for (const auto* t : {&a, &b})
+    if (t->is_object())
+      for (const auto& kv : t->get_object()) out.insert(std::string(kv.key()));
+  return out;
+}
+
+}  // namespace
+
+auto compare(const tree& a, const tree& b) -> std::vector<parting> {
+  auto out = std::vector<parting>();
+  const auto& x = sub(a, "beliefs");
+  const auto& y = sub(b, "beliefs");
+  if (sub(x, "charter") != sub(y, "charter")) out.push_back({"charter", show(sub(x, "charter")), show(sub(y, "charter")), false, news_ms});
+  for (const auto& id : keys(sub(x, "cells"), sub(y, "cells"))) {
+    const auto& p = sub(sub(x, "cells"), id);
+    const auto& q = sub(sub(y, "cells"), id);
+    if (p.is_null() || q.is_null()) {
+      out.push_back({"cell " + id, show(p), show(q), false, news_ms});
+      continue;
+    }
+    auto same_epoch = num_or(p, "epoch", 0) == num_or(q, "epoch", 0);
+    if (!same_epoch) out.push_back({"cell " + id + " epoch", show(sub(p, "epoch")), show(sub(q, "epoch")), false, news_ms});
+    for (auto k : {"prim", "back", "step"}) {
+      if (sub(p, k) == sub(q, k)) continue;
+      // One epoch means one claim: two readings of it can never both be right.
+      out.push_back({"cell " + id + " " + k, show(sub(p, k)), show(sub(q, k)), same_epoch, news_ms});
+    }
+  }
+  for (const auto& n : keys(sub(x, "members"), sub(y, "members"))) {
+    const auto& p = sub(sub(x, "members"), n);
+    const auto& q = sub(sub(y, "members"), n);
+    if (p.is_null() != q.is_null()) out.push_back({"member " + n, p.is_null() ? "away" : "here", q.is_null() ? "away" : "here", false, -1});
+  }
+  for (const auto& n : keys(sub(x, "leavings"), sub(y, "leavings")))
+    if (sub(sub(x, "leavings"), n) != sub(sub(y, "leavings"), n))
+      out.push_back({"leaving " + n, show(sub(sub(x, "leavings"), n)), show(sub(sub(y, "leavings"), n)), false, news_ms});
+  // What both hold themselves.
+  for (const auto& id : keys(sub(a, "cells"), sub(b, "cells"))) {
+    const auto& p = sub(sub(a, "cells"), id);
+    const auto& q = sub(sub(b, "cells"), id);
+    if (p.is_null() || q.is_null()) continue;
+    auto name = "copy of " + id;
+    auto prim = [](const tree& t) { return str_or(t, "role") == "primary"; };
+    if (prim(p) && prim(q)) {
+      auto same = num_or(p, "epoch", 0) == num_or(q, "epoch", 0);
+      out.push_back({name + " led twice", show(sub(p, "epoch")), show(sub(q, "epoch")), same, news_ms});
+      continue;
+    }
+    if (!prim(p) && !prim(q)) continue;
+    const auto& lead = prim(p) ? p : q;
+    const auto& copy = prim(p) ? q : p;
+    if (str_or(copy, "role") != "backup" || num_or(lead, "epoch", 0) != num_or(copy, "epoch", 0)) continue;
+    if (num_or(copy, "last", 0) != num_or(lead, "last", 0))
+      out.push_back({name + " position", show(sub(p, "last")), show(sub(q, "last")), false, -1});
+  }
+  return out;
+}
+
+}  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+TEST_GROUP(guard_differ){};
+TEST(guard_differ, two_readings_of_one_epoch_break_a_rule) {
+  auto a = boost::json::parse(R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":4,"prim":"x/1","back":"y/1","step":["x/1","y/1"]}},"members":{"x":{}}}})");
+  CHECK(hive::compare(a, a).empty());
+  auto b = boost::json::parse(R"({"beliefs":{"charter":2,"cells":{"s/0":{"epoch":4,"prim":"y/1","back":"y/1","step":["x/1","y/1"]}},"members":{}}})");
+  auto d = hive::compare(a, b);
+  LONGS_EQUAL(3, d.size());
+  STRCMP_EQUAL("charter", d[0].what.c_str());
+  CHECK_FALSE(d[0].broken);
+  STRCMP_EQUAL("cell s/0 prim", d[1].what.c_str());
+  CHECK(d[1].broken);
+  STRCMP_EQUAL("member x", d[2].what.c_str());
+  auto c = boost::json::parse(R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":5,"prim":"y/1","back":"","step":["y/1"]}},"members":{"x":{}}}})");
+  for (auto& p : hive::compare(a, c)) CHECK_FALSE(p.broken);
+}
+TEST(guard_differ, two_primaries_of_one_epoch) {
+  auto a = boost::json::parse(R"({"cells":{"s/0":{"role":"primary","epoch":4,"last":9}}})");
+  auto b = boost::json::parse(R"({"cells":{"s/0":{"role":"primary","epoch":4,"last":7}}})");
+  CHECK(hive::compare(a, b)[0].broken);
+  auto c = boost::json::parse(R"({"cells":{"s/0":{"role":"backup","epoch":4,"last":7}}})");
+  CHECK_FALSE(hive::compare(a, c)[0].broken);
+}
+#endif
--- /dev/null
+++ b/guard/main.cpp
@@ -0,0 +1,80 @@
+// guard A B: what two nodes believe, where they part, since when, and whether that breaks a rule.
+#include <popt.h>
+
+#include <iostream>
+#include <memory>
+
+#include "guard/differ.hpp"
+#include "wax/config.hpp"
+#include "wax/evhost.hpp"
+#include "wax/http.hpp"
+
+namespace hive {
+namespace {
+
+enum : int { same = 0, differs = 1, usage = 2, unreached = 3, breaks = 4 };
+
+auto watch(evhost& h, std::string a, std::string b, tick span, bool json, int& out) -> task<void> {
+  auto since = std::map<std::string, tick>();
+  auto rows = std::vector<parting>();
+  auto begin = h.now();
+  while (true) {
+    auto left = co_await fetch(h, a, "GET", "/status", "", h.now() + 3 * sec);
+    auto right = co_await fetch(h, b, "GET", "/status", "", h.now() + 3 * sec);
+    for (auto* r : {&left, &right})
+      if (r->code != 200) {
+        std::cerr << (r == &left ? a : b) << " does not answer\n";
+        out = unreached;
+        h.end();
+        co_return;
+      }
+    rows = compare(left.body, right.body);
+    auto still = std::map<std::string, tick>();
+    for (auto& p : rows) still[p.what] = since.count(p.what) ? since[p.what] : h.now();
+    since = std::move(still);
+    auto early = h.now() - begin >= span;
+    if (rows.empty() || early) break;  // all agreed, or watched long enough
+    co_await rest(h, 250 * msec);
+  }
+  out = same;
+  auto list = twigs();
+  for (auto& p : rows) {
+    auto age = (h.now() - since[p.what]) / msec;
+    auto bad = p.broken || (p.may >= 0 && age > p.may);
+    out = std::max(out, static_cast<int>(bad ? breaks : differs));
+    if (json) list.push_back(branch{{"what", p.what}, {"left", p.left}, {"right", p.right}, {"age_ms", age}, {"breaks_rule", bad}});
+    else std::cout << p.what << ": " << p.left << " | " << p.right << "  for " << age << " ms" << (bad ? "  BREAKS A RULE" : "") << '\n';
+  }
+  if (json) std::cout << text(list) << '\n';
+  else if (rows.empty()) std::cout << "they agree\n";
+  h.end();
+}
+
+}  // namespace
+}  // namespace hive
+
+auto main(int argc, const char** argv) -> int {
+  auto span = 4, json = 0;
+  poptOption opts[] = {{"for", 'f', POPT_ARG_INT, &span, 0, "seconds to watch differences that last (4)", "S"},
+                       {"json", 'j', POPT_ARG_NONE, &json, 0, "print JSON", nullptr},
+                       {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
+                       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
+  poptSetOtherOptionHelp(ctx.get(), "IP:PORT IP:PORT\n  exit: 0 they agree, 1 they differ, 2 wrong usage, 3 one is not reached, 4 a rule is broken");
+  if (auto r = poptGetNextOpt(ctx.get()); r < -1) {
+    std::cerr << poptBadOption(ctx.get(), 0) << ": " << poptStrerror(r) << '\n';
+    return hive::usage;
+  }
+  const auto* a = poptGetArg(ctx.get());
+  const auto* b = poptGetArg(ctx.get());
+  if (!a || !b || poptGetArg(ctx.get()) || !hive::good_addr(a) || !hive::good_addr(b)) {
+    std::cerr << "guard wants two HTTP addresses of nodes\n";
+    return hive::usage;
+  }
+  auto h = hive::evhost("");
+  auto home = hive::nest(h);
+  auto out = static_cast<int>(hive::unreached);
+  home.spawn(hive::watch(h, a, b, span * hive::sec, json != 0, out));
+  h.run();
+  return out;
+}
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -438,13 +438,11 @@
 }
 
 auto queen::page(request r) -> task<response> {
-  if (r.path == "/healthz") co_return response{200, {}, "alive\n"};
+  if (auto p = common_page(r.path, [this] { return status(); })) co_return *p;
   if (r.path == "/readyz") {
     if (book.leads() ? sure() : !book.leader().empty()) co_return response{200, {}, "ready\n"};
     throw verdict("no_leader", "no ledger leader is in reach", ran::no, set.lose / msec);
   }
-  if (r.path == "/status") co_return response{200, status(), {}};
-  if (r.path == "/ring") co_return response{200, {}, ring_text()};
   if (r.path == "/v1/members") {
     auto rows = twigs();
     for (const auto& [q, t] : known.tables)
@@ -468,15 +466,8 @@
 auto queen::leave(tick limit) -> task<void> { co_await book.yield(limit); }
 
 auto queen::status() const -> tree {
-  auto mem = twigs();
-  for (const auto& [n, s] : known.all()) mem.emplace_back(n);
-  auto cells = branch();
-  for (const auto& [id, c] : law.cells) cells[id] = c.to_tree();
-  auto away = branch();
-  for (const auto& [n, l] : law.leavings) away[n] = branch{{"kind", l.kind}, {"done", l.done}};
   return branch{{"kind", "queen"}, {"name", set.name}, {"zone", set.zone}, {"ledger", book.stand()},
-                {"charter", law.law ? law.law->number : 0}, {"members", mem}, {"cells", cells}, {"leavings", away},
-                {"sessions", guests.size()}};
+                {"sessions", guests.size()}, {"beliefs", known.beliefs()}};
 }
 
 }  // namespace hive
--- a/scout/view.cpp
+++ b/scout/view.cpp
@@ -93,6 +93,15 @@
     if (auto it = t.rows.find(name); it != t.rows.end() && (!out || it->second.ready)) out = &it->second;
   return out;
 }
+auto view::beliefs() const -> tree {
+  auto cs = branch();
+  for (const auto& [id, c] : cells) cs[id] = c.to_tree();
+  auto ms = branch();
+  for (const auto& [n, s] : all()) ms[n] = branch{{"kind", s.kind}, {"zone", s.zone}, {"leaving", s.leaving}};
+  auto ls = branch();
+  for (const auto& [n, l] : leavings) ls[n] = branch{{"kind", l.kind}, {"done", l.done}};
+  return branch{{"charter", law ? law->number : 0}, {"cells", cs}, {"members", ms}, {"leavings", ls}};
+}
 auto view::all() const -> std::map<std::string, seat> {
   auto out = std::map<std::string, seat>();
   for (const auto& [q, t] : tables)
--- a/scout/view.hpp
+++ b/scout/view.hpp
@@ -35,6 +35,8 @@
   // Takes in such a map; versions only go up. Returns whether anything was new.
   auto merge(const tree& t) -> bool;
   [[nodiscard]] auto find(const std::string& name) const -> const seat*;
+  // For guard: what this node believes.
+  [[nodiscard]] auto beliefs() const -> tree;
   [[nodiscard]] auto all() const -> std::map<std::string, seat>;
 };
 
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <algorithm>
 #include <sstream>
 
 #include "wax/ring.hpp"
@@ -186,6 +187,33 @@
 
 }  // namespace
 
+namespace {
+// Numbers of a status, one a line; what is named by data becomes a label.
+auto flat(const tree& t, const std::string& name, const std::string& label, std::string& out) -> void {
+  if (t.is_object()) {
+    for (const auto& kv : t.get_object()) {
+      auto k = std::string(kv.key());
+      auto word = std::all_of(k.begin(), k.end(), [](unsigned char c) { return std::isalpha(c) || c == '_'; });
+      if (k == "beliefs") continue;
+      if (word) flat(kv.value(), name + "_" + k, label, out);
+      else flat(kv.value(), name, label + (label.empty() ? "" : ",") + (label.empty() ? "of" : "at") + "=\"" + k + "\"", out);
+    }
+  } else if (t.is_number() || t.is_bool()) {
+    out += name + (label.empty() ? "" : "{" + label + "}") + " " + (t.is_bool() ? (t.get_bool() ? "1" : "0") : text(t)) + "\n";
+  }
+}
+}  // namespace
+
+auto common_page(const std::string& path, const std::function<tree()>& status) -> std::optional<response> {
+  if (path == "/healthz") return response{200, {}, "alive\n"};
+  if (path == "/status") return response{200, status(), {}};
+  if (path == "/ring") return response{200, {}, ring_text()};
+  if (path != "/metrics") return {};
+  auto out = std::string();
+  flat(status(), "reachridge", "", out);
+  return response{200, {}, out};
+}
+
 auto code_for(const verdict& v) -> int {
   if (v.run == ran::maybe) return 504;
   if (v.back_ms >= 0) return 503;
--- a/wax/http.hpp
+++ b/wax/http.hpp
@@ -49,6 +49,9 @@
            tick until) -> task<reply>;
 auto open_link(host& h, std::string addr, tick until) -> task<std::shared_ptr<lines>>;
 
+// The pages that every daemon has: /healthz, /status, /metrics, /ring. None: another page.
+auto common_page(const std::string& path, const std::function<tree()>& status) -> std::optional<response>;
+
 auto code_for(const verdict& v) -> int;
 
 }  // namespace hive
