Deliver on a resumed subscription only from its own entry on

Cause: a subscribe bound its link at once; a publish logged before it but released after it went to that link ahead of what the resume owed, and the forager dropped the older ones as seen. Ruled out: loss in the replayed state (the entries were there), the caller's resume position. With it: a request on a session's link outlives the choice of another door (use after free found by ASan in freeze-primary), and an empty HTTP answer no longer trips the parser's assertion.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -187,9 +187,9 @@
     auto by = std::vector<std::pair<wire_ptr, twigs>>();
     for (const auto& i : o.ids) {
       auto it = wires.find(i);
-      if (it == wires.end()) continue;
-      auto at = std::find_if(by.begin(), by.end(), [&](auto& b) { return b.first == it->second; });
-      if (at == by.end()) at = by.insert(by.end(), {it->second, {}});
+      if (it == wires.end() || p.idx < it->second.from) continue;
+      auto at = std::find_if(by.begin(), by.end(), [&](auto& b) { return b.first == it->second.w; });
+      if (at == by.end()) at = by.insert(by.end(), {it->second.w, {}});
       at->second.emplace_back(i);
     }
     for (auto& [w, ids] : by) {
@@ -201,8 +201,8 @@
     }
   } else if (o.what == output::kind::opened || o.what == output::kind::gone) {
     auto it = wires.find(o.ids[0]);
-    if (it == wires.end()) return;
-    it->second->tell(branch{{"op", "subbed"}, {"i", o.ids[0]}, {"ok", o.what == output::kind::opened}, {"pos", o.pos}, {"code", o.what == output::kind::gone ? "gone" : "ok"}});
+    if (it == wires.end() || p.idx < it->second.from) return;
+    it->second.w->tell(branch{{"op", "subbed"}, {"i", o.ids[0]}, {"ok", o.what == output::kind::opened}, {"pos", o.pos}, {"code", o.what == output::kind::gone ? "gone" : "ok"}});
     if (o.what == output::kind::gone) wires.erase(it);
   }
 }
@@ -283,7 +283,7 @@
     w->tell(branch{{"op", "subbed"}, {"i", sid}, {"ok", false}, {"code", "ahead"}, {"pos", applied}});
     return;
   }
-  wires[sid] = w;
+  wires[sid] = {w, last() + 1};
   lonely.erase(sid);
   operate({branch{{"k", "s"}, {"i", sid}, {"t", str(t, "t")}, {"d", str(t, "d")}, {"a", num(t, "a")}}});
 }
@@ -314,7 +314,7 @@
 
 auto cell::lost(const wire_ptr& w) -> void {
   for (auto it = wires.begin(); it != wires.end();) {
-    if (it->second == w) {
+    if (it->second.w == w) {
       lonely[it->first] = h.now();
       it = wires.erase(it);
     } else {
@@ -645,8 +645,8 @@
   mates.clear();
   proving.clear();
   auto told = std::set<wire_ptr>();
-  for (auto& [sid, w] : wires)
-    if (told.insert(w).second) w->tell(branch{{"op", "moved"}, {"cell", id}});
+  for (auto& [sid, e] : wires)
+    if (told.insert(e.w).second) e.w->tell(branch{{"op", "moved"}, {"cell", id}});
   wires.clear();
   lonely.clear();
   grown.wake();
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -123,7 +123,11 @@
   tick fresh_since = 0;
   std::set<std::string> barred;
   std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
-  std::map<std::string, wire_ptr> wires;   // by subscription
+  struct ear {  // where a subscription's deliveries go, and from which entry on:
+    wire_ptr w;  // what is older comes, if at all, with the answer of that entry
+    std::int64_t from;
+  };
+  std::map<std::string, ear> wires;        // by subscription
   std::map<std::string, tick> lonely;      // subscriptions whose forager is gone
   std::string lord;                        // whom this backup follows
   std::int64_t lord_epoch = 0;
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -17,7 +17,7 @@
 auto session::run() -> task<void> {
   auto good = h.now();  // when this door last gave a lease
   while (!gone) {
-    if (!line) line = std::make_unique<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
+    if (!line) line = std::make_shared<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
     auto sent = h.now();
     auto wait = set.beat / 4;
     try {
@@ -43,6 +43,7 @@
     }
     if (h.now() - good > set.lose * 2 && doors.size() > 1) {
       at = (at + 1) % doors.size();
+      line->quit();
       line.reset();
       good = h.now();
     }
@@ -52,7 +53,8 @@
 
 auto session::ask(tree t, tick limit) -> task<tree> {
   if (!line) throw verdict("away", "no session stands", ran::no, set.beat / msec);
-  co_return co_await line->ask(std::move(t), limit);
+  auto held = line;
+  co_return co_await held->ask(std::move(t), limit);
 }
 auto session::propose(tree deed, tick limit) -> task<tree> {
   auto q = tree(branch{{"op", "deed"}, {"deed", std::move(deed)}});
--- a/swarm/main.cpp
+++ b/swarm/main.cpp
@@ -36,7 +36,10 @@
         low = std::stoll(t.substr(0, at));
         high = at == std::string::npos ? low : std::stoll(t.substr(at + 1));
       }
-      for (auto n = low; n <= high; ++n) {
+      auto row = std::vector<std::int64_t>();
+      for (auto n = low; n <= high; ++n) row.push_back(n);
+      if (!seeds) row.insert(row.end(), s.also.begin(), s.also.end());
+      for (auto n : row) {
         auto r = hive::play(s, static_cast<std::uint64_t>(n));
         ++ran;
         std::cout << (r.bad.empty() ? "ok   " : "FAIL ") << s.name << " seed " << n << ": " << r.facts << '\n';
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -62,6 +62,9 @@
     need(2);
     s.seed_low = static_cast<std::int64_t>(number(w[1]));
     s.seed_high = static_cast<std::int64_t>(number(w[2]));
+  } else if (w[0] == "also") {
+    need(1);
+    s.also.push_back(static_cast<std::int64_t>(number(w[1])));
   } else if (w[0] == "want") {
     need(2);
     s.wants.emplace_back(w[1], static_cast<std::int64_t>(number(w[2])));
--- a/swarm/scene.hpp
+++ b/swarm/scene.hpp
@@ -21,6 +21,7 @@
   std::vector<cue> cues;
   tick length = 30 * sec, quiet = 8 * sec;
   std::int64_t seed_low = 1, seed_high = 5;
+  std::vector<std::int64_t> also;  // seeds that failed once
   std::vector<std::pair<std::string, std::int64_t>> wants;  // least counts of what must have happened
 };
 // Throws verdict naming the line of a fault.
--- a/wax/colleague.hpp
+++ b/wax/colleague.hpp
@@ -54,6 +54,7 @@
   colleague(host& h, ways w);
   auto ask(tree t, tick until) -> task<tree>;  // throws verdict
   auto tell(const tree& t) -> bool;            // false: no link now
+  auto quit() -> void { fall(); }              // open requests end at once
   [[nodiscard]] auto up() const -> bool { return on; }
   [[nodiscard]] auto heard() const -> tick { return last; }
   [[nodiscard]] auto addr() const -> const std::string& { return set.addr; }
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -67,7 +67,7 @@
     }
     auto live = co_await l.more(until);
     if (!live) {
-      if (l.shut && !p.is_done()) p.put_eof(ec);
+      if (l.shut && !p.is_done() && p.got_some()) p.put_eof(ec);
       co_return enough();
     }
     if (l.hub_now() >= until) co_return false;
