A queen with a new disk is a new source in the vector of versions

Cause: its count of starts was lost with the disk, so its table of sessions got a lower version than the one its colleagues held; they ignored it, and foragers found no address for a primary. Ruled out: the re-entry as a voter (seated in 0.2 s), the cells (no claim was made).

--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -31,10 +31,12 @@
       spill("a task ended");
     }
   };
+  // A queen whose disk was lost counts from one again: it must be another source.
+  source = c.addr + "/" + book.disk_id();
   if (auto b = h.disk()->get("Q/boot")) boot = num(unseal(*b), "n");
   ++boot;
   h.disk()->put("Q/boot", seal(branch{{"n", boot}}));
-  known.tables[c.addr].ver = boot << 32;
+  known.tables[source].ver = boot << 32;
   refresh();
   auto a = answers();
   a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
@@ -73,8 +75,8 @@
   if (op == "bye") {
     auto n = str(t, "name");
     if (guests.erase(n)) {
-      known.tables[set.addr].rows.erase(n);
-      known.tables[set.addr].ver = (boot << 32) + ++bump;
+      known.tables[source].rows.erase(n);
+      known.tables[source].ver = (boot << 32) + ++bump;
       news.wake();
     }
     if (!book.leads()) {
@@ -115,7 +117,7 @@
   auto& g = guests[row.name];
   g.seen = came;
   g.charter = num_or(t, "charter", 0);
-  auto& mine = known.tables[set.addr];
+  auto& mine = known.tables[source];
   auto same = row;
   same.usage = g.row.usage;
   if (!mine.rows.count(row.name) || same.to_tree() != g.row.to_tree()) {
@@ -167,8 +169,8 @@
         live[n] = branch{{"charter", g.charter}, {"usage", g.row.usage}};
         names.push_back(n);
       }
-      const auto& mine = known.tables[set.addr];
-      auto q = branch{{"op", "swap"}, {"from", set.addr}, {"ver", mine.ver}, {"live", live}};
+      const auto& mine = known.tables[source];
+      auto q = branch{{"op", "swap"}, {"from", source}, {"ver", mine.ver}, {"live", live}};
       if (told != mine.ver) {
         auto rows = twigs();
         for (const auto& [n, s] : mine.rows) rows.push_back(s.to_tree());
@@ -187,11 +189,11 @@
     } catch (const verdict&) {
       told = -1;
     }
-    auto changed = known.tables[set.addr].ver;
+    auto changed = known.tables[source].ver;
     auto end = sent + set.beat;
     while (h.now() < end && (!fine || changed == told)) {
       auto in_time = co_await news.wait(h, end);
-      changed = known.tables[set.addr].ver;
+      changed = known.tables[source].ver;
       if (!in_time) break;
     }
   }
@@ -235,7 +237,7 @@
   while (true) {
     co_await rest(h, set.beat);
     auto now = h.now();
-    auto& mine = known.tables[set.addr];
+    auto& mine = known.tables[source];
     auto lost = false;
     for (auto it = guests.begin(); it != guests.end();) {
       if (now - it->second.seen > set.lose) {
@@ -249,7 +251,7 @@
     }
     if (lost) mine.ver = (boot << 32) + ++bump;
     for (auto it = known.tables.begin(); it != known.tables.end();) {
-      if (it->first != set.addr && now - mates_seen[it->first] > set.lose) {
+      if (it->first != source && now - mates_seen[it->first] > set.lose) {
         it = known.tables.erase(it);
         lost = true;
       } else {
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -56,6 +56,7 @@
 
   host& h;
   config set;
+  std::string source;  // this queen's sessions in the vector of versions
   view known;
   std::map<std::string, guest> guests;
   std::map<std::string, grant> grants;
