A third locality relays one hop between two that have lost each other

Cause: in two-blind a forager of one zone refused all publishes for a primary of the other, and open subscriptions fell behind until what they lacked had expired. Ruled out: takeover (the claim goes through, but callers in the other zone are then the blind ones).

--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -1,5 +1,7 @@
 #include "comb/comb.hpp"
 
+#include <algorithm>
+
 #include "wax/ring.hpp"
 
 namespace hive {
@@ -42,6 +44,10 @@
   a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
   a.note = [this](const wire_ptr& w, const tree& t) { note(w, t); };
   a.gone = [this](const wire_ptr& w) { queue({command::kind::lost, {}, {}, w, nullptr}); };
+  a.may_relay = [this](const std::string& to) {
+    auto all = ses.known.all();
+    return std::any_of(all.begin(), all.end(), [&](auto& s) { return s.second.kind == "comb" && s.second.addr == to; });
+  };
   home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
   if (!c.web.empty()) {
     auto p = pages();
@@ -61,7 +67,7 @@
 auto comb::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
   if (!c) {
-    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose, [this, addr] { return ses.known.vias(set.zone, addr); }});
     c->on_note = [this](const tree& t) {
       if (str_or(t, "op") != "c.ack") return;
       if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_ack(str(t, "me"), t);
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -44,7 +44,7 @@
 auto forager::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
   if (!c) {
-    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose, [this, addr] { return ses.known.vias(set.zone, addr); }});
     c->on_note = [this, addr](const tree& t) { on_note(addr, t); };
     c->on_turn = [this, addr](bool up) {
       if (!up)
--- a/scout/view.cpp
+++ b/scout/view.cpp
@@ -93,6 +93,18 @@
     if (auto it = t.rows.find(name); it != t.rows.end() && (!out || it->second.ready)) out = &it->second;
   return out;
 }
+auto view::vias(const std::string& zone, const std::string& to) const -> std::vector<std::string> {
+  auto seats = all();
+  auto there = std::string();
+  for (const auto& [n, s] : seats)
+    if (s.kind == "comb" && s.addr == to) there = s.zone;
+  auto out = std::vector<std::string>();
+  if (there == zone) return out;
+  for (const auto& [n, s] : seats)
+    if (s.kind == "comb" && s.zone != zone && s.zone != there) out.push_back(s.addr);
+  return out;
+}
+
 auto view::beliefs() const -> tree {
   auto cs = branch();
   for (const auto& [id, c] : cells) cs[id] = c.to_tree();
--- a/scout/view.hpp
+++ b/scout/view.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <map>
 #include <string>
+#include <vector>
 
 #include "queen/realm.hpp"
 #include "waggle/waggle.hpp"
@@ -35,6 +36,8 @@
   // Takes in such a map; versions only go up. Returns whether anything was new.
   auto merge(const tree& t) -> bool;
   [[nodiscard]] auto find(const std::string& name) const -> const seat*;
+  // Combs of a third locality, which may reach `to` where `zone` cannot.
+  [[nodiscard]] auto vias(const std::string& zone, const std::string& to) const -> std::vector<std::string>;
   // For guard: what this node believes.
   [[nodiscard]] auto beliefs() const -> tree;
   [[nodiscard]] auto all() const -> std::map<std::string, seat>;
--- a/wax/colleague.cpp
+++ b/wax/colleague.cpp
@@ -62,7 +62,50 @@
   w->tell(out);
 }
 
+auto pump(link_ptr from, link_ptr to) -> task<void> {
+  while (true) {
+    if (!from->in.empty()) {
+      to->send(from->in);
+      from->in.clear();
+      from->eaten();
+      auto room = co_await to->room(std::size_t{1} << 20, never);
+      if (!room) break;
+    }
+    auto live = co_await from->more();
+    if (!live) break;
+  }
+  to->close();
+}
+
+// Passes a colleague's bytes on to a third that it cannot reach itself (design 3.8).
+auto relay(host& h, nest& home, link_ptr way, std::string to, std::string me) -> task<void> {
+  auto far = co_await h.dial(to, h.now() + sec);
+  if (!far) co_return way->close();
+  log(grade::note, me, "relays " + way->from + " to " + to);
+  home.spawn(pump(far, way));
+  co_await pump(way, far);
+}
+
 auto guest(host& h, nest& home, link_ptr way, answers a, std::string me) -> task<void> {
+  try {
+    auto first = std::optional<tree>();
+    auto used = std::size_t{0};
+    while (!first) {
+      first = unframe(way->in, used);
+      if (first) break;
+      auto live = co_await way->more();
+      if (!live) co_return way->close();
+    }
+    if (str_or(*first, "op") == "relay") {
+      way->in.erase(0, used);
+      auto to = str(*first, "to");
+      if (!a.may_relay || !a.may_relay(to)) co_return way->close();
+      co_return co_await relay(h, home, way, to, me);
+    }
+  } catch (const bad_bytes& e) {
+    log(grade::warn, me, "malformed frame from " + way->from + ": " + e.what());
+    co_return way->close();
+  }
   auto w = std::make_shared<wire>(way);
   auto fn = [&h, &home, w, a, me](const tree& t) {
     auto op = str_or(t, "op");
@@ -95,9 +138,16 @@
 
 auto colleague::run() -> task<void> {
   auto wait = set.beat;
+  auto turn = 0;  // odd ones go over a third locality, if any stands
   while (true) {
-    auto way = co_await h.dial(set.addr, h.now() + set.lose);
+    auto via = std::string();
+    if (set.vias && turn % 2 == 1)
+      if (auto row = set.vias(); !row.empty()) via = row[h.below(row.size())];
+    auto way = co_await h.dial(via.empty() ? set.addr : via, h.now() + set.lose / 2);
+    over_hop = !via.empty();
+    ++turn;
     if (way) {
+      if (over_hop) way->send(frame(branch{{"op", "relay"}, {"to", set.addr}}));
       auto w = std::make_shared<wire>(way);
       w->tell(branch{{"op", "hello"}, {"me", set.me}});
       line = w;
@@ -106,7 +156,10 @@
       // Up only after the first round trip: a one-way cut must not pass for a link.
       auto fn = [this](const tree& t) { take(t); };
       co_await frames(way, fn, set.me);
-      if (on) wait = set.beat;
+      if (on) {
+        wait = set.beat;
+        turn = h.now() - last > set.lose ? 1 : 0;  // silent, not closed: perhaps a cut
+      }
       fall();
     }
     co_await rest(h, h.spread(wait));
--- a/wax/colleague.hpp
+++ b/wax/colleague.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "wax/host.hpp"
 #include "wax/verdict.hpp"
@@ -38,6 +39,7 @@
   std::function<task<tree>(wire_ptr, tree)> ask;    // a request; the tree is the reply
   std::function<void(const wire_ptr&, const tree&)> note;  // one-way, in order of sending
   std::function<void(const wire_ptr&)> gone;        // the link ended
+  std::function<bool(const std::string&)> may_relay;  // is this the address of a member?
 };
 
 // Accepts colleagues' links and serves them until the nest ends.
@@ -50,6 +52,8 @@
   struct ways {
     std::string me, addr;
     tick beat, lose;
+    // Who could pass it on where the straight way is cut: one hop, no more.
+    std::function<std::vector<std::string>()> vias = {};
   };
   colleague(host& h, ways w);
   auto ask(tree t, tick until) -> task<tree>;  // throws verdict
@@ -58,6 +62,7 @@
   [[nodiscard]] auto up() const -> bool { return on; }
   [[nodiscard]] auto heard() const -> tick { return last; }
   [[nodiscard]] auto addr() const -> const std::string& { return set.addr; }
+  [[nodiscard]] auto relayed() const -> bool { return on && over_hop; }
   std::function<void(const tree&)> on_note;
   std::function<void(bool)> on_turn;  // came up or went down
   wire_ptr line;
@@ -74,7 +79,7 @@
   auto fall() -> void;
   host& h;
   ways set;
-  bool on = false;
+  bool on = false, over_hop = false;
   tick last = 0;
   std::int64_t count = 0;
   std::map<std::int64_t, std::shared_ptr<slot>> open;
--- a/wax/host.hpp
+++ b/wax/host.hpp
@@ -28,14 +28,16 @@
   auto more(tick until = never) -> task<bool> {
     auto had = in.size();
     while (in.size() == had && !shut) {
-      if (!co_await stir.wait(hub, until)) co_return !shut;
+      auto in_time = co_await stir.wait(hub, until);
+      if (!in_time) co_return !shut;
     }
     co_return in.size() > had;
   }
   // Waits until less than `most` bytes are owed; false if time ran out or the stream ended.
   auto room(std::size_t most, tick until) -> task<bool> {
     while (!shut && owed() > most) {
-      if (!co_await gone.wait(hub, until)) co_return false;
+      auto in_time = co_await gone.wait(hub, until);
+      if (!in_time) co_return false;
     }
     co_return !shut;
   }
