--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -86,7 +86,7 @@
         buf += b;
         b.clear();
       }
-      if (auto at = buf.find('\n'); at != std::string::npos) {
+      if (auto at = buf.find('\n'); at != std::string::npos && at <= line_most) {
         auto out = buf.substr(0, at);
         buf.erase(0, at + 1);
         if (out.empty() || out == "\r") continue;
