--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -15,7 +15,8 @@
 }
 
 auto session::run() -> task<void> {
-  auto good = h.now();  // when this door last gave a lease
+  auto good = h.now();     // when this door last gave a lease
+  auto sent_up = h.now();  // when it last stood
   while (!gone) {
     if (!line) line = std::make_shared<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
     auto sent = h.now();
@@ -41,11 +42,14 @@
     } catch (const verdict&) {
       wait = set.beat;
     }
-    if (h.now() - good > set.lose * 2 && doors.size() > 1) {
+    // A door that fell is left at once; one that stands but gives no lease, after a while.
+    auto fell = !line->up() && h.now() - sent_up > set.beat * 2;
+    if (line->up()) sent_up = h.now();
+    if ((fell || h.now() - good > set.lose) && doors.size() > 1) {
       at = (at + 1) % doors.size();
       line->quit();
       line.reset();
-      good = h.now();
+      good = sent_up = h.now();
     }
     co_await rest(h, wait);
   }
