Leases outlast an election: 3 s, and elections after three eighths of lose_ms

Cause: a lease of 2 s ended before a new leader (silence 1 s, spread to 2 s, first swap) could renew it. Ruled out: sessions (they stay with their queens or move within 0.4 s since the last change). Price: 'took hold' waits 3 s, not 2 s, for a node that died without a word; a new leader 3.75 s.

--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -30,7 +30,7 @@
 }  // namespace
 
 ledger::ledger(host& hh, const config& c, rules r)
-    : h(hh), set(c), law(std::move(r)), disk(*hh.disk()), heat(c.lose / 2), home(hh) {
+    : h(hh), set(c), law(std::move(r)), disk(*hh.disk()), heat(c.lose * 3 / 8), home(hh) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
       std::rethrow_exception(e);
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -63,7 +63,7 @@
 
 // May this queen, as leader, still speak for the majority? (design 5.3)
 auto queen::sure() const -> bool {
-  return book.settled() && h.now() < book.quorum_at() + set.lose * 3 / 8;
+  return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32;
 }
 
 auto queen::ask(wire_ptr, tree t) -> task<tree> {
--- a/wax/config.hpp
+++ b/wax/config.hpp
@@ -13,7 +13,7 @@
   std::vector<std::string> seeds;
   tick beat = 200 * msec;    // between signs of life
   tick lose = 2 * sec;       // silence after which a colleague counts as lost
-  tick lease = 2 * sec;      // how long a charter lease lasts
+  tick lease = 3 * sec;      // how long a charter lease lasts
   tick budget = 1 * sec;     // for one request inside the system
   tick resend = 10 * sec;    // repeats of a publish are known at least so long
   tick lag = 1 * sec;        // replay lag above which the primary is slowed
