After a claim for silence the new primary seeks its backup at once

Cause: it gave the silent old primary another lose_ms before it drew a new backup; a kept cell refuses publishes meanwhile. Ruled out: the copy itself (under 0.1 s in the ring).

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -665,7 +665,8 @@
     if (m != me()) next.back = m;
   // A kept cell's in-step set stays: only one that has all may ever claim.
   // Where nothing is kept, the lone winner goes on alone, as in the paper.
-  auto silent = row.prim != me() || next.back.empty();
+  auto was_silent = row.prim != me();
+  auto silent = was_silent || next.back.empty();
   if (!kept() && silent) {
     next.back.clear();
     next.step = {me()};
@@ -675,6 +676,8 @@
     auto won = co_await propose(next, why);
     if (won && row.prim == me()) {
       go_live();
+      // The silence that led to the claim counts against the other copy too.
+      if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
       spill(id + " taken over: " + why);
     }
   } catch (const verdict& v) {
