--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -415,6 +415,14 @@
   else ack(false);
 }
 
+// A closed channel speaks louder than silence: a primary that lives opens it again
+// within a beat or two, one that was killed does not.
+auto cell::channel_closed(const wire_ptr& w) -> void {
+  if (role != part::back || lord_wire != w) return;
+  lord_wire.reset();
+  heard = std::min(heard, h.now() - g.set.lose + g.set.beat * 4);
+}
+
 auto cell::ack(bool nack) -> void {
   if (!lord_wire) return;
   lord_wire->tell(branch{{"op", "c.ack"}, {"cell", id}, {"me", me()}, {"epoch", lord_epoch}, {"nack", nack}, {"got", solid}, {"done", applied}});
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -45,6 +45,7 @@
   auto on_join(tree t) -> task<tree>;
   auto on_copy(tree t) -> task<tree>;
   auto on_log(const wire_ptr& w, const tree& t) -> void;
+  auto channel_closed(const wire_ptr& w) -> void;
   auto on_ack(const std::string& member, const tree& t) -> void;
 
   [[nodiscard]] auto live() const -> bool { return role == part::prim; }
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -129,7 +129,10 @@
       some = true;
       ++worked;
       if (c.what == command::kind::lost) {
-        for (auto& [id, one] : cells) one->lost(c.w);
+        for (auto& [id, one] : cells) {
+          one->lost(c.w);
+          one->channel_closed(c.w);
+        }
         break;
       }
       auto it = cells.find(c.cell);
