--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -348,7 +348,22 @@
 
 // ---- the backup's side ----
 
+namespace {
+struct visit {
+  explicit visit(int& n) : n(n) { ++n; }
+  visit(const visit&) = delete;
+  auto operator=(const visit&) -> visit& = delete;
+  ~visit() { --n; }
+  int& n;
+};
+}  // namespace
+
+auto cell::spent() const -> bool {
+  return role != part::prim && inside == 0 && row.epoch > 0 && !row.holds(me()) && h.now() - std::max({heard, born_at, back_at}) > g.set.lose * 5;
+}
+
 auto cell::on_join(tree t) -> task<tree> {
+  auto here = visit(inside);
   auto e = num(t, "epoch");
   if (e < row.epoch || e < lord_epoch) throw verdict("old", id + " has moved on", ran::no, -1, row.to_tree());
   if (role == part::prim) {
@@ -366,6 +381,7 @@
 }
 
 auto cell::on_copy(tree t) -> task<tree> {
+  auto here = visit(inside);
   if (num(t, "epoch") != lord_epoch || str(t, "from") != lord || role != part::back) throw verdict("old", "another primary is followed");
   heard = h.now();
   if (num(t, "part") == 0) copy_part.clear();
@@ -745,7 +761,23 @@
     hive::log(grade::note, g.set.name, id + ": goes on alone");
     release();
   }
-  auto want = row.back.empty() || lost_back || away(row.back);
+  // A wish of the placement: another backup, or to hand over to the one that is.
+  auto wish_back = std::string();
+  auto wish_hand = false;
+  for (const auto& w : g.ses.wishes()) {
+    if (str_or(w, "cell") != id) continue;
+    wish_hand = yes(w, "hand");
+    const auto* s = g.ses.known.find(str_or(w, "back"));
+    if (s && !s->leaving && s->zone != g.set.zone && s->member() != row.back) wish_back = s->member();
+  }
+  auto sound = !row.back.empty() && !lost_back && !away(row.back);
+  if (sound && !wish_back.empty() && fresh_back.empty()) {
+    fresh_back = wish_back;
+    fresh_since = h.now();
+    mates.erase(fresh_back);
+    start_feed(fresh_back);
+  }
+  auto want = !sound || !wish_back.empty();
   if (want && fresh_back.empty()) {
     auto bar = twigs{name_of(me())};
     if (!row.back.empty()) bar.emplace_back(name_of(row.back));
@@ -797,7 +829,7 @@
     }
   }
   // Going: hand over to a pair that has everything.
-  auto going = g.leaving() || g.ses.known.leavings.count(name_of(me())) > 0;
+  auto going = (wish_hand && sound) || g.leaving() || g.ses.known.leavings.count(name_of(me())) > 0;
   if (going && !row.back.empty() && in_touch(row.back) && !away(row.back)) {
     handing = true;
     auto end = h.now() + g.set.lose;
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -48,6 +48,10 @@
   auto channel_closed(const wire_ptr& w) -> void;
   auto on_ack(const std::string& member, const tree& t) -> void;
 
+  [[nodiscard]] auto load_units() const -> std::int64_t { return role == part::prim ? 2 : role == part::back ? 1 : 0; }
+  // Held by nobody's word any more, quiet for long, and nothing is at work in it.
+  [[nodiscard]] auto spent() const -> bool;
+  auto wipe() -> void;
   [[nodiscard]] auto live() const -> bool { return role == part::prim; }
   [[nodiscard]] auto stand() const -> tree;
   [[nodiscard]] auto law() const -> std::int64_t { return state.law; }
@@ -84,7 +88,6 @@
   [[nodiscard]] auto safe() const -> std::int64_t;  // up to here outputs may go out
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
   auto load() -> void;
-  auto wipe() -> void;
   auto save() -> void;  // a capture to disk; entries before it go
   auto push(entry e) -> std::int64_t;
   auto operate(std::vector<tree> row) -> void;  // one operation: entries, the last a go-live point
@@ -117,6 +120,7 @@
   std::deque<entry> log;
   std::int64_t base = 0, base_epoch = 0, applied = 0, solid = 0, shelf = 0;
   bool urgent = false;
+  int inside = 0;  // joins and copies at work
   std::deque<pending> outs;
   std::map<std::string, mate> mates;
   std::set<std::string> proving;  // copies whose ack is needed while a move is in flight
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -94,7 +94,16 @@
     for (auto& [id, c] : cells)
       if (auto it = ses.known.cells.find(id); it != ses.known.cells.end()) c->meet(it->second);
     auto use = std::int64_t{0};
-    for (auto& [id, c] : cells) use += c->live() ? 2 : 1;
+    for (auto it = cells.begin(); it != cells.end();) {
+      if (it->second->spent()) {  // its pair stands elsewhere: the old copy goes
+        hive::log(grade::note, set.name, it->first + ": old copy removed");
+        it->second->wipe();
+        it = cells.erase(it);
+      } else {
+        use += it->second->load_units();
+        ++it;
+      }
+    }
     ses.me.usage = use;
   }
 }
--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -1,5 +1,7 @@
 #include "meadow/caller.hpp"
 
+#include <algorithm>
+
 namespace hive {
 
 platform::platform(host& hh, std::vector<std::string> webs) : h(hh), home(hh) {
@@ -93,10 +95,11 @@
       if (now >= next && now < what.until) {
         next = now + h.spread(what.every);
         auto topic = what.tell[turn++ % what.tell.size()];
-        if (!open.count(topic)) {
+        auto flying = std::count_if(open.begin(), open.end(), [&](auto& o) { return o.first.first == topic; });
+        if (flying < what.pipe) {
           auto n = ++seq[topic];
           auto body = what.name + "|" + topic + "|" + std::to_string(n) + "|" + std::to_string(h.chance() % 1000000);
-          auto& f = open[topic];
+          auto& f = open[{topic, n}];
           f = {topic, body, n, now, now, 0, false};
           log.sent[{topic + " " + what.name, n}] = now;
           shoot(f);
@@ -148,10 +151,10 @@
   }
   if (kind != "publish") return;
   auto topic = str(t, "topic");
-  auto it = open.find(topic);
+  auto it = open.find({topic, num(t, "seq")});
   log.note(h, branch{{"e", "verdict"}, {"who", what.name}, {"topic", topic}, {"seq", sub(t, "seq")}, {"verdict", v}, {"code", code}, {"pos", num_or(t, "pos", -1)}});
   ++log.counts["publish " + v + (code.empty() ? "" : " " + code)];
-  if (it == open.end() || it->second.seq != num(t, "seq")) return;
+  if (it == open.end()) return;
   auto& f = it->second;
   auto back = num_or(t, "retry_ms", -1);
   if (v == "acked") {
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -42,6 +42,7 @@
     std::vector<std::string> hear, tell;
     tick every = sec;      // between publishes
     tick drop = never;     // about how long a link is kept before it is dropped by itself
+    int pipe = 1;          // publishes of one topic open at a time
     tick until = never;    // publishes stop then
   };
   caller(host& h, platform& p, history& log, plan what);
@@ -69,7 +70,7 @@
   plan what;
   std::shared_ptr<lines> io;
   std::map<std::string, std::int64_t> pos;  // by topic: where it stands
-  std::map<std::string, flight> open;       // by topic: one publish at a time
+  std::map<std::pair<std::string, std::int64_t>, flight> open;  // by topic and seq
   std::map<std::string, std::int64_t> seq;
   tick back_in = 0;
   std::uint64_t said = 0;
--- /dev/null
+++ b/mutants.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Takes away one protection at a time and shows which scenario notices: mutants.sh [NAME...]
+# Each row: name | file | text to replace | replacement | scenario | seeds.
+# A protection whose loss no scenario notices is printed as UNSEEN and makes the exit status 1.
+set -uo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+git ls-files -z | xargs -0 cp --parents -t "$work"
+cmake -S "$work" -B "$work/build" -G Ninja >/dev/null
+cmake --build "$work/build" --target swarm >/dev/null
+bad=0
+while IFS='@' read -r name file from to scene seeds; do
+  [[ -z "$name" || "$name" == \#* ]] && continue
+  if (($#)) && [[ " $* " != *" $name "* ]]; then continue; fi
+  from=${from//'\n'/$'\n'}
+  to=${to//'\n'/$'\n'}
+  cp "$work/$file" "$work/kept"
+  if ! FROM="$from" TO="$to" perl -0pi -e 'BEGIN{$f=quotemeta $ENV{FROM};$t=$ENV{TO}} $n=s/$f/$t/; END{exit !$n}' "$work/$file"; then
+    echo "STALE   $name: its text is not in $file"
+    bad=1
+    continue
+  fi
+  if ! cmake --build "$work/build" --target swarm >"$work/log" 2>&1; then
+    echo "BROKEN  $name: does not build"
+    bad=1
+  else
+    out=$("$work/build/swarm" --seeds "$seeds" "$work/scenarios/$scene.txt" 2>&1)
+    rules=$(grep -E '^     ' <<<"$out" | sed 's/^ *//; s/:.*//' | sort | uniq -c | sort -rn | awk '{print $2 "x" $1}' | head -4 | tr '\n' ' ')
+    failed=$(grep -c '^FAIL' <<<"$out")
+    if ((failed)) || ! grep -q ' failed$' <<<"$out"; then echo "seen    $name: $scene, $failed runs: ${rules:-crash}"; else
+      echo "UNSEEN  $name: $scene seeds $seeds"
+      bad=1
+    fi
+  fi
+  cp "$work/kept" "$work/$file"
+done <mutants.txt
+exit $bad
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -20,6 +20,7 @@
             },
             [this] {
               grants.clear();
+              wish.clear();
               news.wake();
             }}),
       h(hh), set(c), home(hh) {
@@ -129,13 +130,12 @@
   auto vec = sub(t, "vec");
   auto end = came + set.beat / 2;
   auto out = known.lacks(vec);
-  auto wishes = wishes_for(row.name);
-  while (out.empty() && wishes.empty() && h.now() < end) {
+  while (out.empty() && h.now() < end) {
     auto in_time = co_await news.wait(h, end);
     out = known.lacks(vec);
     if (!in_time) break;
   }
-  if (!wishes.empty()) out["wish"] = wishes;
+  if (auto wishes = wishes_for(row.name); !wishes.empty()) out["wish"] = wishes;
   auto now = h.now();
   if (book.leads()) {
     if (sure()) {
@@ -181,6 +181,8 @@
       fine = true;
       told = num_or(r, "have", -1) == ver ? ver : -1;
       if (yes(r, "grant")) {
+        wish.clear();
+        for (const auto& m : list(r, "wish")) wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
         grant_need = std::max(grant_need, num(r, "need"));
         grant_cells = std::max(grant_cells, num(r, "cells"));
         for (const auto& n : names)
@@ -225,6 +227,9 @@
       g.until = std::max(g.until, h.now() + set.lease);
       g.charter = num_or(kv.value(), "charter", 0);
     }
+    auto ws = twigs();
+    for (const auto& m : wish) ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
+    out["wish"] = ws;
     out["grant"] = true;
     out["need"] = law.law ? law.law->number : 0;
     out["cells"] = law.cells_ver;
@@ -315,6 +320,7 @@
     co_await rest(h, set.beat);
     if (!sure() || !law.law) continue;
     drawn.clear();
+    balance();
     auto combs = live_combs();
     auto use = loads();
     try {
@@ -351,7 +357,52 @@
   }
 }
 
-auto queen::wishes_for(const std::string&) const -> twigs { return {}; }
+auto queen::wishes_for(const std::string& name) const -> twigs {
+  auto out = twigs();
+  for (const auto& m : wish)
+    if (m.prim == name) out.push_back(branch{{"cell", m.cell}, {"back", m.back}, {"hand", m.hand}});
+  return out;
+}
+
+// Evens out usage, one cell at a time: the most laden comb gives something to the
+// least laden, a backup before a lead (design 5.6).
+auto queen::balance() -> void {
+  auto use = loads();
+  auto combs = live_combs();
+  if (!wish.empty()) {
+    const auto& m = wish.front();
+    const auto& c = law.cells[m.cell];
+    auto done = m.hand ? name_of(c.prim) != m.prim : name_of(c.back) == m.back;
+    if (!done && name_of(c.prim) == m.prim && h.now() - wished < set.lose * 5) return;
+    wish.clear();
+    return;  // a pause before the next
+  }
+  if (combs.size() < 2 || h.now() - wished < set.lose) return;
+  auto order = std::vector<seat>();
+  for (const auto& [n, s] : combs) order.push_back(s);
+  std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
+  for (auto hi = order.rbegin(); hi != order.rend(); ++hi)
+    for (const auto& lo : order)
+      if (use[hi->name] - use[lo.name] >= 3 && wish_move(*hi, lo, combs)) return;
+}
+
+auto queen::wish_move(const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
+  for (auto step = 0; step < 3; ++step)
+    for (const auto& [id, c] : law.cells) {
+      auto p = name_of(c.prim), b = name_of(c.back);
+      if (!combs.count(p) || !combs.count(b)) continue;  // broken pairs mend themselves first
+      auto apart = combs[p].zone != lo.zone && p != lo.name && b != lo.name;
+      auto give_back = step == 0 && b == hi.name && apart;
+      auto hand = step == 1 && p == hi.name && b == lo.name;
+      auto lead_later = step == 2 && p == hi.name && apart;
+      if (!give_back && !hand && !lead_later) continue;
+      wish = {{id, p, hand ? "" : lo.name, hand}};
+      wished = h.now();
+      hive::log(grade::note, set.name, id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
+      return true;
+    }
+  return false;
+}
 
 // Checks that need the fleet: a kept space wants two localities of disks.
 auto queen::charters_ok(const std::string& body) const -> void {
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -49,6 +49,8 @@
   [[nodiscard]] auto sure() const -> bool;
   auto charters_ok(const std::string& body) const -> void;
   [[nodiscard]] auto live_combs() const -> std::map<std::string, seat>;
+  auto balance() -> void;
+  auto wish_move(const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool;
   auto loads() const -> std::map<std::string, std::int64_t>;
   auto wishes_for(const std::string& name) const -> twigs;
   auto page_charter(request r) -> task<response>;
@@ -64,7 +66,12 @@
   std::map<std::string, std::int64_t> drawn;
   std::int64_t grant_need = 0, grant_cells = 0, boot = 0, bump = 0;
   signal news;
-  std::map<std::string, std::string> wish;  // cell -> comb that should become its backup
+  struct move {  // a wish to a primary: another backup, or to hand over to the one it has
+    std::string cell, prim, back;
+    bool hand = false;
+  };
+  std::vector<move> wish;
+  tick wished = 0;
   nest home;
 };
 
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -11,6 +11,11 @@
 
 }  // namespace
 
+auto shape::spaces() const -> std::string {
+  auto c = std::to_string(cells);
+  return R"({"name":"alerts","keep_s":)" + std::to_string(keep) + R"(,"urgency":9,"cells":)" + c + R"(},{"name":"lookups","keep_s":0,"urgency":1,"cells":)" + c + "}";
+}
+
 fleet::fleet(std::uint64_t s, shape sh) : world(s), form(std::move(sh)), seed(s) {
   shown_clock = &world.clock;
   ring_clock([] { return shown_clock ? 1700000000000 + *shown_clock / msec : 0; });
@@ -203,13 +208,13 @@
   }(*this, std::move(fn)));
 }
 
-auto fleet::next_charter() -> std::string { return probe_charter(++number, form.spaces); }
+auto fleet::next_charter() -> std::string { return probe_charter(++number, form.spaces()); }
 
 auto fleet::begin() -> bool {
   for (auto& [n, p] : all) start(n);
   spread = std::make_unique<platform>(*outside, webs);
   boss = std::make_unique<keeper>(*outside, queen_webs, webs, log);
-  auto spaces = boost::json::parse("[" + form.spaces + "]");
+  auto spaces = boost::json::parse("[" + form.spaces() + "]");
   for (const auto& s : spaces.as_array()) log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
   auto ok = std::make_shared<bool>(false);
   auto body = next_charter();
@@ -232,6 +237,7 @@
     }
     p.tell = {topics[static_cast<std::size_t>(i % form.topics)], topics[static_cast<std::size_t>((i * 5 + 1) % form.topics)]};
     p.every = form.every;
+    p.pipe = static_cast<int>(form.pipeline);
     p.drop = form.drop;
     callers.push_back(std::make_unique<caller>(*outside, *spread, log, p));
   }
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -15,11 +15,12 @@
 namespace hive {
 
 struct shape {
-  std::int64_t zones = 3, queens = 3, combs = 3, foragers = 3, callers = 12, topics = 6;
+  std::int64_t zones = 3, queens = 3, combs = 3, foragers = 3, callers = 12, topics = 6, pipeline = 1;
   tick every = 400 * msec, drop = 6 * sec;
   double loss = 0;
   tick sync = 3 * msec;
-  std::string spaces = R"({"name":"alerts","keep_s":35,"urgency":9,"cells":2},{"name":"lookups","keep_s":0,"urgency":1,"cells":2})";
+  std::int64_t cells = 2, keep = 35;
+  [[nodiscard]] auto spaces() const -> std::string;
   std::map<std::string, std::string> set;  // settings laid over the defaults
 };
 
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -33,7 +33,7 @@
     if (w.size() != n + 1) throw verdict("scene", "'" + w[0] + "' wants " + std::to_string(n) + " words after it");
   };
   auto whole = std::map<std::string, std::int64_t*>{{"zones", &s.form.zones}, {"queens", &s.form.queens}, {"combs", &s.form.combs},
-                                                    {"foragers", &s.form.foragers}, {"callers", &s.form.callers}, {"topics", &s.form.topics}};
+                                                    {"foragers", &s.form.foragers}, {"callers", &s.form.callers}, {"topics", &s.form.topics}, {"pipeline", &s.form.pipeline}, {"cells", &s.form.cells}, {"keep", &s.form.keep}};
   if (auto it = whole.find(w[0]); it != whole.end()) {
     need(1);
     *it->second = static_cast<std::int64_t>(number(w[1]));
@@ -240,7 +240,7 @@
     auto* cs = &counts;
     if (verb == "stale") {
       auto n = f.number - 1;
-      auto body = probe_charter(n, f.form.spaces);
+      auto body = probe_charter(n, f.form.spaces());
       if (n < 1) return;
       return f.operate([body, cs](keeper& k) -> task<void> {
         auto r = co_await k.ask("PUT", "/v1/charter", body, never / 2);
@@ -261,7 +261,7 @@
     auto runs = verb == "race" ? 2 : 1;
     for (auto i = 0; i < runs; ++i) {
       // Racing operators send different contents under one number; one may win.
-      auto mine = i == 0 ? body : probe_charter(n, f.form.spaces + R"(,{"name":"other","keep_s":0,"cells":1})");
+      auto mine = i == 0 ? body : probe_charter(n, f.form.spaces() + R"(,{"name":"other","keep_s":0,"cells":1})");
       f.operate([n, mine, cs](keeper& k) -> task<void> {
         auto ok = co_await k.put(n, mine);
         if (!ok) {
@@ -335,20 +335,25 @@
     }
   }
   for (auto& b : judge(seen)) out.bad.push_back(b.rule + ": " + b.what);
-  for (auto& [k, v] : f.log.counts) counts[k] += v;
+  for (auto& [k, v] : f.log.counts) counts[k.substr(k.rfind(' ') + 1)] += v;  // by code
   for (auto& e : seen) {
     auto k = str(e, "e");
-    if (k == "got" || k == "try" || k == "gone" || k == "probe") ++counts[k];
-    if (k == "verdict" && str(e, "verdict") == "acked") ++counts["acked"];
+    if (k == "got" || k == "try" || k == "probe") ++counts[k];
   }
+  auto uses = std::vector<std::int64_t>();
   for (auto& [n, p] : f.all)
     if (p->c) {
+      uses.push_back(p->c->ses.me.usage);
       auto now = p->c->status();
       for (const auto& kv : sub(now, "cells").as_object()) {
         if (str_or(kv.value(), "role") == "primary") ++counts["primaries"];
         counts["epochs"] = std::max(counts["epochs"], num(kv.value(), "epoch"));
       }
     }
+  if (!uses.empty()) {
+    counts["usage_low"] = *std::min_element(uses.begin(), uses.end());
+    counts["usage_gap"] = *std::max_element(uses.begin(), uses.end()) - counts["usage_low"];
+  }
   if (counts["stale_taken"]) out.bad.push_back("a stale charter was taken");
   if (counts["bad_taken"]) out.bad.push_back("an invalid charter was taken");
   for (const auto& [k, v] : s.wants) {
