--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -92,6 +92,15 @@
     if (linked && io) {
       for (auto& [t, f] : open)
         if (f.due <= now) shoot(f);
+      for (auto it = echoes.begin(); it != echoes.end();) {
+        if (it->due <= now) {
+          shoot(*it);
+          ++log.counts["echo sent"];
+          it = echoes.erase(it);
+        } else {
+          ++it;
+        }
+      }
       if (now >= next && now < what.until) {
         next = now + h.spread(what.every);
         auto topic = what.tell[turn++ % what.tell.size()];
@@ -152,13 +161,17 @@
   if (kind != "publish") return;
   auto topic = str(t, "topic");
   auto it = open.find({topic, num(t, "seq")});
-  log.note(h, branch{{"e", "verdict"}, {"who", what.name}, {"topic", topic}, {"seq", sub(t, "seq")}, {"verdict", v}, {"code", code}, {"pos", num_or(t, "pos", -1)}});
+  log.note(h, branch{{"e", "verdict"}, {"who", what.name}, {"topic", topic}, {"seq", sub(t, "seq")}, {"verdict", v}, {"code", code}, {"retry", num_or(t, "retry_ms", -1)}, {"pos", num_or(t, "pos", -1)}});
   ++log.counts["publish " + v + (code.empty() ? "" : " " + code)];
   if (it == open.end()) return;
   auto& f = it->second;
   auto back = num_or(t, "retry_ms", -1);
   if (v == "acked") {
     log.acks[topic.substr(0, topic.find('/'))].push_back(h.now() - f.first);
+    if (what.echo > 0 && h.below(4) == 0) {
+      echoes.push_back(f);
+      echoes.back().due = h.now() + static_cast<tick>(h.below(static_cast<std::uint64_t>(what.echo)));
+    }
     open.erase(it);
   } else if (back < 0 && v == "refused") {
     open.erase(it);  // final
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -43,6 +43,7 @@
     tick every = sec;      // between publishes
     tick drop = never;     // about how long a link is kept before it is dropped by itself
     int pipe = 1;          // publishes of one topic open at a time
+    tick echo = 0;         // accepted publishes are sent again after up to so long
     tick until = never;    // publishes stop then
   };
   caller(host& h, platform& p, history& log, plan what);
@@ -71,6 +72,7 @@
   std::shared_ptr<lines> io;
   std::map<std::string, std::int64_t> pos;  // by topic: where it stands
   std::map<std::pair<std::string, std::int64_t>, flight> open;  // by topic and seq
+  std::vector<flight> echoes;               // accepted, to be sent again
   std::map<std::string, std::int64_t> seq;
   tick back_in = 0;
   std::uint64_t said = 0;
--- a/meadow/judge.cpp
+++ b/meadow/judge.cpp
@@ -130,6 +130,8 @@
       auto& p = posts[{topic, who, num(e, "seq")}];
       auto v = str(e, "verdict");
       if (v == "refused") ++p.refused;
+      if (v == "refused" && num_or(e, "retry", -1) < 0 && p.acked >= 0 && t - p.acked <= 10000)
+        bad("unrepeated", topic + " from " + who + " #" + std::to_string(num(e, "seq")) + ": accepted, yet its repeat was refused");
       if (v == "acked") {
         if (p.acked < 0) p.acked = t;
         if (auto pos = num_or(e, "pos", -1); pos >= 0) {
@@ -208,6 +210,10 @@
   STRCMP_EQUAL("repeat ", rule_of(SUB R"({"e":"subbed","t":1,"who":"v","topic":"a/x","pos":0},)" TRY("1") GOT("1", "5")
     R"({"e":"got","t":30,"who":"v","topic":"a/x","pos":7,"from":"c","seq":1,"body":"b1"},)" END).c_str());
 }
+TEST(judge_rules, a_repeat_is_acknowledged) {
+  STRCMP_EQUAL("unrepeated ", rule_of(SUB TRY("1") SAID("1", "acked") GOT("1", "5") TRY("1") SAID("1", "refused") END).c_str());
+  STRCMP_EQUAL("", rule_of(SUB TRY("1") SAID("1", "acked") GOT("1", "5") TRY("1") R"({"e":"verdict","t":20,"who":"c","topic":"a/x","seq":1,"verdict":"refused","retry":100},)" END).c_str());
+}
 TEST(judge_rules, lost_only_where_kept) {
   STRCMP_EQUAL("lost ", rule_of(SPACE SUB TRY("1") SAID("1", "acked") END).c_str());
   STRCMP_EQUAL("", rule_of(SUB TRY("1") SAID("1", "acked") END).c_str());
--- a/meadow/judge.hpp
+++ b/meadow/judge.hpp
@@ -10,7 +10,7 @@
 // What was seen, in order of time (`t` in milliseconds):
 //  space   name keep_s resend_s            what the operator set
 //  try     who topic seq body              a publish left a caller
-//  verdict who topic seq verdict           its answer: acked, refused, unclear
+//  verdict who topic seq verdict retry     its answer: acked, refused, unclear; retry -1: final
 //  final   who topic seq verdict           the caller is through with it: acked, refused, abandoned
 //  sub     who topic after(-1: anew)       a subscribe left a caller
 //  subbed  who topic pos
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -1,6 +1,8 @@
 #include "swarm/fleet.hpp"
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
 #include "wax/ring.hpp"
 
@@ -193,6 +195,59 @@
     if (p->q && p->q->leads()) return n;
   return {};
 }
+auto fleet::settle(const std::string& name, const std::string& key, const std::string& value) -> bool {
+  auto& p = *all.at(name);
+  auto was = form.set;
+  form.set[key] = value;
+  auto ok = true;
+  try {
+    p.set = config_for(p.kind, name, p.box->zone, *p.box);
+  } catch (const verdict&) {
+    ok = false;
+  }
+  form.set = was;
+  if (!ok || !p.up()) return ok;
+  if (p.q) p.q->reload(p.set);
+  if (p.c) p.c->reload(p.set);
+  if (p.s) p.s->reload(p.set);
+  if (p.f) p.f->reload(p.set);
+  return ok;
+}
+
+auto fleet::save_disks(const std::string& file) const -> void {
+  auto all_disks = branch();
+  for (const auto& [n, m] : world.machines) {
+    auto rows = branch();
+    for (const auto& [k, v] : m->solid) {
+      auto hex = std::string();
+      for (auto ch : v) {
+        hex += "0123456789abcdef"[static_cast<unsigned char>(ch) >> 4];
+        hex += "0123456789abcdef"[static_cast<unsigned char>(ch) & 15];
+      }
+      rows[k] = hex;
+    }
+    if (!rows.empty()) all_disks[n] = rows;
+  }
+  std::ofstream(file) << text(all_disks) << '\n';
+}
+
+auto fleet::load_disks(const std::string& file) -> void {
+  auto in = std::ifstream(file);
+  auto os = std::ostringstream();
+  os << in.rdbuf();
+  auto t = boost::json::parse(os.str());
+  for (const auto& kv : t.as_object()) {
+    auto& d = world.machines.at(std::string(kv.key()))->solid;
+    d.clear();
+    for (const auto& row : kv.value().as_object()) {
+      auto hex = std::string(row.value().as_string());
+      auto v = std::string();
+      for (auto i = std::size_t{0}; i + 1 < hex.size(); i += 2) v += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+      d[std::string(row.key())] = v;
+    }
+  }
+}
+
 auto fleet::names(const std::string& what) const -> std::vector<std::string> {
   auto out = std::vector<std::string>();
   for (const auto& [n, p] : all)
@@ -239,6 +294,7 @@
     p.every = form.every;
     p.pipe = static_cast<int>(form.pipeline);
     p.drop = form.drop;
+    p.echo = form.echo;
     callers.push_back(std::make_unique<caller>(*outside, *spread, log, p));
   }
   world.run(world.clock + 3 * sec);
@@ -267,3 +323,72 @@
 }
 
 }  // namespace hive
+
+#ifdef HIVE_TESTS
+#include <CppUTest/TestHarness.h>
+
+#include <cstdlib>
+namespace {
+using namespace hive;
+auto quiet_shape() -> shape {
+  auto s = shape();
+  s.callers = 0;
+  return s;
+}
+auto call(fleet& f, const std::string& verb, const std::string& path, const std::string& body) -> reply {
+  auto out = std::make_shared<reply>();
+  f.desk->spawn([](fleet& fl, std::string v, std::string p, std::string b, std::shared_ptr<reply> o) -> task<void> {
+    *o = co_await fetch(*fl.outside, fl.webs[0], v, p, b, fl.outside->now() + 2 * sec);
+  }(f, verb, path, body, out));
+  f.world.run(f.world.clock + 2 * sec);
+  return *out;
+}
+}  // namespace
+TEST_GROUP(disk_formats){};
+// The disks of the first landing's format, written by that version, open in this one.
+TEST(disk_formats, those_of_format_1_open) {
+  auto file = std::string(HIVE_SOURCE) + "/fixtures/format-1.json";
+  if (const auto* to = std::getenv("HIVE_SAVE_DISKS")) {  // how the fixture was made
+    auto f = fleet(11, quiet_shape());
+    CHECK(f.begin());
+    for (auto i = 1; i <= 3; ++i)
+      LONGS_EQUAL(200, call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"word )" + std::to_string(i) + "\"}").code);
+    f.power("all", false);
+    f.save_disks(to);
+    return;
+  }
+  auto f = fleet(12, quiet_shape());
+  f.load_disks(file);
+  for (auto& n : f.names("all")) f.start(n);
+  f.world.run(f.world.clock + 10 * sec);
+  auto r = call(f, "GET", "/v1/read?name=me&topic=alerts/x&after=0", "");
+  LONGS_EQUAL(200, r.code);
+  LONGS_EQUAL(3, list(r.body, "rows").size());
+  STRCMP_EQUAL("word 2", str(list(r.body, "rows")[1], "body").c_str());
+  r = call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":3,"body":"word 3"})");
+  CHECK(yes(r.body, "repeat"));
+  LONGS_EQUAL(200, call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":4,"body":"new"})").code);
+}
+TEST(disk_formats, a_foreign_or_damaged_folder_is_refused_with_the_reason) {
+  auto refuses = [](const std::string& name, const std::string& key, const std::string& val, const std::string& why) {
+    auto f = fleet(13, quiet_shape());
+    auto box = f.names(name);
+    f.all.at(name)->box->solid[key] = val;
+    try {
+      f.start(name);
+    } catch (const verdict& v) {
+      STRCMP_CONTAINS(why.c_str(), v.why.c_str());
+      return;
+    } catch (const bad_bytes& e) {
+      STRCMP_CONTAINS(why.c_str(), e.what());
+      return;
+    }
+    FAIL("it started");
+  };
+  refuses("comb-1", "somebody", "else", "foreign or damaged");
+  refuses("comb-1", "B/disk", seal(branch{{"format", 2}, {"id", "x"}}), "format is not 1");
+  refuses("comb-1", "B/disk", "torn", "checksum");
+  refuses("queen-1", "L/e/0000000000000001", "x", "lacks its first record");
+  refuses("queen-1", "L/meta", seal(branch{{"format", 9}, {"id", "x"}, {"term", 0}, {"voted", ""}, {"founded", false}}), "format is not 1");
+}
+#endif
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -16,7 +16,7 @@
 
 struct shape {
   std::int64_t zones = 3, queens = 3, combs = 3, foragers = 3, callers = 12, topics = 6, pipeline = 1;
-  tick every = 400 * msec, drop = 6 * sec;
+  tick every = 400 * msec, drop = 6 * sec, echo = 0;
   double loss = 0;
   tick sync = 3 * msec;
   std::int64_t cells = 2, keep = 35;
@@ -61,7 +61,12 @@
   auto begin() -> bool;   // all processes up, the first charter held, callers linked
   auto finish(tick quiet) -> void;  // callers stop, all is read back
   auto reset_links(double share) -> void;
+  // All disks as they are synced, to a file and back: the formats of an earlier version.
+  auto save_disks(const std::string& file) const -> void;
+  auto load_disks(const std::string& file) -> void;
   auto next_charter() -> std::string;
+  // Lays a setting over those of a process, as a changed file would; false: faults, nothing changed.
+  auto settle(const std::string& name, const std::string& key, const std::string& value) -> bool;
 
   air world;
   shape form;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -13,7 +13,7 @@
 const auto verbs = std::map<std::string, std::size_t>{
     {"kill", 1}, {"start", 1}, {"term", 1}, {"freeze", 1}, {"power", 1}, {"cut", 2}, {"oneway", 2}, {"island", 1},
     {"losedisk", 1}, {"flip", 2}, {"reset", 1}, {"charter", 0}, {"stale", 0}, {"bad", 0}, {"race", 0}, {"leave", 2},
-    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}};
+    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}};
 
 auto number(const std::string& s) -> double {
   auto end = std::size_t{0};
@@ -43,6 +43,9 @@
   } else if (w[0] == "drop") {
     need(1);
     s.form.drop = w[1] == "never" ? never : to_tick(w[1]);
+  } else if (w[0] == "echo") {
+    need(1);
+    s.form.echo = to_tick(w[1]);
   } else if (w[0] == "loss") {
     need(1);
     s.form.loss = number(w[1]);
@@ -216,6 +219,8 @@
     } else if (c.verb == "loss") {
       w.loss = number(a[0]);
       after(c.span, [this] { f.world.loss = f.form.loss; });
+    } else if (c.verb == "settings") {
+      for (auto& n : who(a[0])) ++counts[f.settle(n, a[1], a[2]) ? "settings_taken" : "settings_refused"];
     } else if (c.verb == "add") {
       f.start(f.add_comb());
     } else if (c.verb == "charter" || c.verb == "stale" || c.verb == "bad" || c.verb == "race") {
