Slowing lets a falling lag fall; copies that are far behind are copied, not streamed

Cause: the loop cut the share as long as lag stood over its bound, also while the backlog drained, and swung between 5 % and 95 %. A new or restarted copy was streamed the whole log and taken as pair though it had replayed little; a drawn node that was dead blocked the next draw for 8 s. Ruled out: the estimate of the peak rate; it is steady in the same run.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -11,6 +11,7 @@
 constexpr auto rows_kept = std::size_t{1024};
 constexpr auto cut_by = 0.03;      // the slow loop moves the share by a few percent (paper 3.2)
 constexpr auto least_share = 0.05;
+constexpr auto near_by = std::int64_t{256};  // entries between a primary and a copy that may be its pair
 
 auto heft(const tree& e) -> std::size_t {
   const auto& b = sub(e, "b");
@@ -377,7 +378,7 @@
   role = part::back;
   co_await disk.sync();
   solid = last();
-  co_return branch{{"last", last()}, {"epoch", epoch_at(last())}, {"broken", broken}};
+  co_return branch{{"last", last()}, {"epoch", epoch_at(last())}, {"applied", applied}, {"broken", broken}};
 }
 
 auto cell::on_copy(tree t) -> task<tree> {
@@ -497,7 +498,9 @@
       auto r = co_await c.ask(std::move(q), h.now() + g.set.lose);
       if (!on()) break;
       auto theirs = num(r, "last");
-      auto match = !yes(r, "broken") && theirs >= base && theirs <= last() && epoch_at(theirs) == num(r, "epoch");
+      // One that would have long to replay is sooner whole with a copy.
+      auto done = num(r, "applied");
+      auto match = !yes(r, "broken") && last() - done <= near_by && theirs >= base && theirs <= last() && epoch_at(theirs) == num(r, "epoch");
       if (!match) {
         // The state is captured between two operations; the cell goes on meanwhile (paper 3.1).
         auto idx = applied;
@@ -516,14 +519,15 @@
           if (!on()) co_return;
           mates[m].heard = h.now();
         }
-        theirs = idx;
+        theirs = done = idx;
         ++mates[m].copies;
         hive::log(grade::note, g.set.name, id + ": copied to " + m + " at " + std::to_string(idx));
       }
       {
         auto& k = mates[m];
         k.next = theirs + 1;
-        k.got = k.done = theirs;
+        k.got = theirs;
+        k.done = done;
         k.joined = true;
         k.nacked = false;
         k.heard = h.now();
@@ -745,11 +749,14 @@
   if (back != mates.end() && back->second.joined) {
     auto done = back->second.done;
     auto lag = done < last() && done >= base ? h.now() - log[static_cast<std::size_t>(done - base)].born : 0;
-    if (g.set.slowing && lag > g.set.lag) {
+    // Lag that falls already is let fall: the backlog drains at the share found.
+    auto rising = lag >= lag_was;
+    lag_was = (lag_was + lag) / 2;
+    if (g.set.slowing && lag > g.set.lag && rising) {
       if (share >= 1) pace();
       share = std::max(least_share, share - cut_by);
     } else if (share < 1 && lag < g.set.lag / 2) {
-      share = std::min(1.0, share + cut_by);
+      share = std::min(1.0, share + cut_by / 3);
     }
   }
 
@@ -796,6 +803,7 @@
       auto r = co_await g.ses.ask(std::move(q), h.now() + g.set.budget);
       if (role != part::prim) co_return;
       fresh_back = str(r, "member");
+      hive::log(grade::note, g.set.name, id + ": draws " + fresh_back + " for its pair");
       fresh_since = h.now();
       mates.erase(fresh_back);
       start_feed(fresh_back);
@@ -810,7 +818,7 @@
   }
   if (!fresh_back.empty()) {
     auto& k = mates[fresh_back];
-    if (in_touch(fresh_back) && k.got >= last() - 256) {
+    if (in_touch(fresh_back) && std::min(k.got, k.done) >= last() - near_by) {
       auto next = row;
       auto mine = fresh_back;
       next.back = mine;
@@ -831,7 +839,8 @@
       barred.clear();
       hive::log(grade::note, g.set.name, id + ": pair is " + mine + " now");
       release();
-    } else if (h.now() - fresh_since > g.set.lose * 4) {
+    } else if (h.now() - std::max(fresh_since, k.heard) > g.set.lose || h.now() - fresh_since > g.set.lose * 15) {
+      hive::log(grade::note, g.set.name, id + ": gives up on " + fresh_back);
       barred.insert(fresh_back);
       mates.erase(fresh_back);
       fresh_back.clear();
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -139,6 +139,7 @@
   wire_ptr lord_wire;
   tick heard = 0, clock_at = 0, born_at = 0, back_at = 0;
   std::string copy_part;
+  tick lag_was = 0;                        // smoothed
   double share = 1;                        // the admission share of gradual slowing
   double tokens = 0, peak = 0;
   tick paced = 0, window = 0;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -325,7 +325,23 @@
     auto at = zero + c.low + static_cast<tick>(span ? f.world.dice() % span : 0);
     f.world.later(at, [&hand, &c] { hand.act(c); });
   }
-  f.world.run(zero + s.length);
+  auto lag = std::int64_t{0};
+  auto rows = std::size_t{0};
+  while (f.world.clock < zero + s.length) {
+    f.world.run(std::min(zero + s.length, f.world.clock + sec));
+    for (auto& [n, p] : f.all) {
+      rows = std::max(rows, p->box->solid.size());
+      if (!p->c || p->h->frozen) continue;
+      auto now = p->c->status();
+      for (const auto& kv : sub(now, "cells").as_object()) {
+        if (str_or(kv.value(), "role") != "primary") continue;
+        const auto& m = sub(sub(kv.value(), "copies"), str_or(kv.value(), "back"));
+        if (m.is_object() && yes(m, "joined")) lag = std::max(lag, num_or(m, "lag_ms", 0));
+      }
+    }
+  }
+  counts["lag_ms"] = lag;
+  counts["disk_rows"] = static_cast<std::int64_t>(rows);
   f.finish(s.quiet);
   // A publish that was acked after machines came back shows that they serve.
   auto seen = std::vector<tree>();
@@ -355,6 +371,12 @@
         counts["epochs"] = std::max(counts["epochs"], num(kv.value(), "epoch"));
       }
     }
+  for (auto& [space_name, v] : f.log.acks) {
+    std::sort(v.begin(), v.end());
+    counts[space_name + "_p50_ms"] = v[v.size() / 2] / msec;
+    counts[space_name + "_p99_ms"] = v[v.size() * 99 / 100] / msec;
+    counts[space_name + "_max_ms"] = v.back() / msec;
+  }
   if (!uses.empty()) {
     counts["usage_low"] = *std::min_element(uses.begin(), uses.end());
     counts["usage_gap"] = *std::max_element(uses.begin(), uses.end()) - counts["usage_low"];
@@ -367,7 +389,7 @@
     if (low ? counts[key] < v : counts[key] > v) out.bad.push_back("wanted " + std::string(low ? "at least " : "at most ") + std::to_string(v) + " of " + key + ", saw " + std::to_string(counts[key]));
   }
   auto facts = std::ostringstream();
-  for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs"})
+  for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms", "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
     if (counts[k]) facts << k << ' ' << counts[k] << ' ';
   facts << "steps " << f.world.steps;
   out.facts = facts.str();
