--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -74,7 +74,7 @@
     if (i <= base) return;
     if (i != ++at) throw bad_bytes("entry " + std::to_string(at) + " is missing");
     auto t = unseal(v);
-    log.push_back({num(t, "v"), yes(t, "g"), sub(t, "e"), 0});
+    log.push_back({num(t, "v"), yes(t, "g"), sub(t, "e"), h.now()});
   });
   applied = base;
   solid = last();
@@ -712,7 +712,22 @@
   try {
     auto won = co_await propose(next, why);
     if (won && row.prim == me()) {
+      // From here on nothing of an older epoch is taken in; what was is replayed in
+      // full first, at the pace at which this node replays.
+      auto mine = row.epoch;
+      lord = me();
+      lord_epoch = mine;
+      auto begun = h.now();
+      auto left = [this] {
+        for (auto i = last(); i > applied && i > base; --i)
+          if (log[static_cast<std::size_t>(i - base - 1)].go) return true;
+        return false;
+      };
+      rows_in.wake();
+      while (role != part::prim && row.epoch == mine && left()) co_await rest(h, g.set.beat / 50);
+      if (role == part::prim || row.epoch != mine) co_return;
       go_live();
+      hive::log(grade::note, g.set.name, id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
       // The silence that led to the claim counts against the other copy too.
       if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
       spill(id + " taken over: " + why);
--- a/swarm/main.cpp
+++ b/swarm/main.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <sstream>
 
 #include "meadow/judge.hpp"
 #include "swarm/scene.hpp"
@@ -16,7 +17,7 @@
   auto show = 0;
   poptOption opts[] = {{"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, one number or A-B; by default those the file names", "A-B"},
                        {"log", 'l', POPT_ARG_NONE, &show, 0, "print the ring of a failing run", nullptr},
-                       {"set", 0, POPT_ARG_STRING, &over, 0, "a setting laid over the scenario's", "KEY=VALUE"},
+                       {"set", 0, POPT_ARG_STRING, &over, 0, "settings laid over the scenario's", "KEY=VALUE,..."},
                        {"history", 'o', POPT_ARG_STRING, &seen, 0, "write what was seen to a file", "FILE"},
                        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
                        {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
@@ -32,9 +33,11 @@
     try {
       auto s = hive::read_scene(file);
       if (over) {
-        auto t = std::string(over);
-        auto at = t.find('=');
-        s.form.set[t.substr(0, at)] = at == std::string::npos ? "" : t.substr(at + 1);
+        auto in = std::istringstream(over);
+        for (auto t = std::string(); std::getline(in, t, ',');) {
+          auto at = t.find('=');
+          s.form.set[t.substr(0, at)] = at == std::string::npos ? "" : t.substr(at + 1);
+        }
       }
       auto low = s.seed_low, high = s.seed_high;
       if (seeds) {
