--- a/wax/config.cpp
+++ b/wax/config.cpp
@@ -99,7 +99,7 @@
       {"lag_ms", "replay lag above which a primary is slowed", span(&config::lag, 10, 60000, msec)},
       {"body_bytes", "most bytes of one message", span(&config::body, 64, 1 << 20, 1)},
       {"buffer_bytes", "most bytes of one log buffer or slow reader",
-       span(&config::buffer, 1 << 16, 1 << 28, 1)},
+       span(&config::buffer, 4096, 1 << 28, 1)},
       {"links_most", "most downstream links", span(&config::links, 1, 100000, 1)},
       {"slowing", "gradual slowing of a primary whose backup lags: yes or no",
        flag(&config::slowing)},
