--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -522,6 +522,16 @@
   for (const auto& [id, c] : law.cells) known_here |= name_of(c.prim) == name || name_of(c.back) == name;
   if (const auto* s = known.find(name); s && s->kind == "comb") known_here = true;
   if (!known_here && !law.leavings.count(name)) throw verdict("not_found", "no comb " + name + " is known");
+  if (kind == "retire") {
+    for (const auto& [id, c] : law.cells) {
+      auto has = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) { return name_of(m) == name; });
+      auto other = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) {
+        const auto* s = known.find(name_of(m));
+        return name_of(m) != name && s && s->member() == m;
+      });
+      if (has && !other) throw verdict("last_copy", name + " holds the last copy in step of " + id + " that is in reach", ran::no, set.lose / msec);
+    }
+  }
   auto d = tree(branch{{"k", "leave"}, {"name", name}, {"kind", kind}});
   auto out = co_await deed(std::move(d));
   if (!yes(out, "ok")) throw verdict::from_tree(out);
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -236,7 +236,7 @@
       for (auto& n : row)
         f.operate([n, kind, limit, cs](keeper& k) -> task<void> {
           auto ok = co_await k.leave(n, kind, limit);
-          if (ok) ++(*cs)["left"];
+          ++(*cs)[ok ? "left" : "leave_refused"];
         });
     }
   }
