A claim for silence bars the silent one from the next draw

Cause: its session stands for lose_ms after its death, and being without cells it looked least laden.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -703,6 +703,7 @@
   // A kept cell's in-step set stays: only one that has all may ever claim.
   // Where nothing is kept, the lone winner goes on alone, as in the paper.
   auto was_silent = row.prim != me();
+  auto gone = row.prim;
   auto silent = was_silent || next.back.empty();
   if (!kept() && silent) {
     next.back.clear();
@@ -728,6 +729,7 @@
       if (role == part::prim || row.epoch != mine) co_return;
       go_live();
       hive::log(grade::note, g.set.name, id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
+      if (was_silent) barred.insert(gone);  // not to be drawn before it is heard again
       // The silence that led to the claim counts against the other copy too.
       if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
       spill(id + " taken over: " + why);
