--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -229,6 +229,7 @@
   if (role != part::prim) return refuse({"not_here", id + " is not led here", ran::no, g.set.beat / msec});
   auto who = str(t, "d"), topic = str(t, "t"), body = str(t, "b");
   auto seq = num(t, "s");
+  auto again = g.set.beat * 2 / msec;  // a new pair mostly stands by then
   auto k = std::pair(who, std::pair(topic, seq));
   switch (state.weigh(who, topic, seq)) {
     case standing::below:
@@ -236,7 +237,7 @@
     case standing::repeat:
       if (auto it = waits.find(k); it != waits.end()) it->second.push_back(s);
       else if (applied > safe() && kept() && (row.back.empty() || !in_touch(row.back)))
-        refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, g.set.lose / msec / 2});
+        refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, again});
       else {
         outs.push_back({applied, {}, s, branch{{"repeat", true}}});
         release();
@@ -244,7 +245,6 @@
       return;
     case standing::fresh: break;
   }
-  auto again = g.set.lose / msec / 2;
   if (handing) return refuse({"moving", id + " is changing hands", ran::no, g.set.beat / msec});
   if (kept() && (row.back.empty() || !in_touch(row.back))) return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
   // The buffer towards the backup is full: the primary stops (paper 3.2).
@@ -655,7 +655,7 @@
 }
 
 auto cell::give_up(const std::string& why) -> void {
-  auto v = verdict("unclear", why, ran::maybe, g.set.lose / msec / 2);
+  auto v = verdict("unclear", why, ran::maybe, g.set.beat * 2 / msec);
   for (auto& [k, row_] : waits)
     for (auto& s : row_) {
       s->bad = v;
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -91,7 +91,7 @@
   auto to = judge(act::publish, who, topic, body.size());
   auto cell = home_of(to);
   auto addr = lead_of(cell);
-  auto back = h.spread(set.lose / 2) / msec;
+  auto back = h.spread(set.lose / 4) / msec;
   if (addr.empty()) throw verdict("away", "no primary of " + cell + " is in reach", ran::no, back);
   auto& c = reach(addr);
   if (!c.up()) throw verdict("away", "the primary of " + cell + " is not in reach", ran::no, back);
