A silent backup is not a lagging one: no slowing for it, and a new pair starts at full share

Cause: when a zone lost power its backups' lag seemed to grow, the share fell for 2 s, and rose only slowly after the new pair stood. Ruled out as the cause of the longest waits there (8 s): those are callers whose forager lost power.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -763,7 +763,8 @@
 
   // Gradual slowing by the real-time lag of replay.
   auto back = mates.find(row.back);
-  if (back != mates.end() && back->second.joined) {
+  // A backup that is not heard does not lag, it may be gone: that is not for slowing to mend.
+  if (back != mates.end() && back->second.joined && h.now() - back->second.heard < g.set.beat * 3) {
     auto done = back->second.done;
     auto lag = done < last() && done >= base ? h.now() - log[static_cast<std::size_t>(done - base)].born : 0;
     // Lag that falls already is let fall: the backlog drains at the share found.
@@ -854,6 +855,8 @@
       if (old != mine) mates.erase(old);
       fresh_back.clear();
       barred.clear();
+      share = 1;
+      lag_was = 0;
       hive::log(grade::note, g.set.name, id + ": pair is " + mine + " now");
       release();
     } else if (h.now() - std::max(fresh_since, k.heard) > g.set.lose || h.now() - fresh_since > g.set.lose * 15) {
