--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -60,7 +60,7 @@
       }
       auto seen = h.now();
       while (true) {
-        auto row = co_await l->next(h.now() + 8 * sec);
+        auto row = co_await l->next(h.now() + 3500 * msec);
         if (!row) break;  // ended, or silent for longer than any beat
         seen = h.now();
         take(boost::json::parse(*row));
