Moves come to an end: the third kind wants a gap that the second can close

Cause: the backup of a lead was moved to the lightest comb at a gap of 3, after which the comb it left was the lightest, and it was moved back, every 2 s without end. Ruled out: lost wishes, leader changes.

--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -419,26 +419,27 @@
   auto order = std::vector<seat>();
   for (const auto& [n, s] : combs) order.push_back(s);
   std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
-  for (auto hi = order.rbegin(); hi != order.rend(); ++hi)
-    for (const auto& lo : order)
-      if (use[hi->name] - use[lo.name] >= 3 && wish_move(*hi, lo, combs)) return;
+  // Each move, or the pair of moves that 'later' begins, lowers the sum of squares:
+  // they end. The cheaper kinds are tried for all pairs of combs first.
+  for (auto kind : {shift::back, shift::hand, shift::later})
+    for (auto hi = order.rbegin(); hi != order.rend(); ++hi)
+      for (const auto& lo : order)
+        if (use[hi->name] - use[lo.name] >= (kind == shift::later ? 4 : 3) && wish_move(kind, *hi, lo, combs)) return;
 }
 
-auto queen::wish_move(const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
-  for (auto step = 0; step < 3; ++step)
-    for (const auto& [id, c] : law.cells) {
-      auto p = name_of(c.prim), b = name_of(c.back);
-      if (!combs.count(p) || !combs.count(b)) continue;  // broken pairs mend themselves first
-      auto apart = combs[p].zone != lo.zone && p != lo.name && b != lo.name;
-      auto give_back = step == 0 && b == hi.name && apart;
-      auto hand = step == 1 && p == hi.name && b == lo.name;
-      auto lead_later = step == 2 && p == hi.name && apart;
-      if (!give_back && !hand && !lead_later) continue;
-      wish = {{id, p, hand ? "" : lo.name, hand}};
-      wished = h.now();
-      hive::log(grade::note, set.name, id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
-      return true;
-    }
+auto queen::wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
+  for (const auto& [id, c] : law.cells) {
+    auto p = name_of(c.prim), b = name_of(c.back);
+    if (!combs.count(p) || !combs.count(b)) continue;  // broken pairs mend themselves first
+    auto apart = combs[p].zone != lo.zone && p != lo.name && b != lo.name;
+    auto hand = kind == shift::hand && p == hi.name && b == lo.name;
+    auto copy = apart && ((kind == shift::back && b == hi.name) || (kind == shift::later && p == hi.name));
+    if (!hand && !copy) continue;
+    wish = {{id, p, hand ? "" : lo.name, hand}};
+    wished = h.now();
+    hive::log(grade::note, set.name, id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
+    return true;
+  }
   return false;
 }
 
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -52,7 +52,8 @@
   [[nodiscard]] auto all_lost(const cell_row& c) const -> bool;
   auto refound(std::string id, bool forsake) -> task<tree>;
   auto balance() -> void;
-  auto wish_move(const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool;
+  enum class shift { back, hand, later };  // a backup moves; a lead is handed over; a backup moves so that the lead can
+  auto wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool;
   auto loads() const -> std::map<std::string, std::int64_t>;
   auto wishes_for(const std::string& name) const -> twigs;
   auto page_charter(request r) -> task<response>;
