--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -624,16 +624,12 @@
     state.root = base;
     disk.put("C/" + id + "/s", seal(branch{{"format", 1}, {"idx", base}, {"epoch", base_epoch}, {"state", state.capture()}}));
   }
-  // Full replay of every entry up to the last go-live point; then it is live (paper 2.3).
+  // All up to the last go-live point has been replayed (paper 2.3); the rest is cut off.
   while (last() > base && !log.back().go) {
     disk.cut(key(last()));
     log.pop_back();
   }
-  while (applied < last()) {
-    auto i = applied + 1;
-    state.apply(i, log[static_cast<std::size_t>(i - base - 1)].e);
-    applied = i;
-  }
+  if (applied < last()) throw std::logic_error(id + " would go live with entries not replayed");
   solid = std::min(solid, last());
   ++stint;
   role = part::prim;
