A takeover and a lost backup are noticed within two beats of a closed link

Cause: the primary waited the whole lose_ms for a backup whose link had closed; the new primary waited beats to draw, to open the link and to propose. Ruled out: claim and replay (3-6 ms), callers' retries.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -437,7 +437,7 @@
 auto cell::channel_closed(const wire_ptr& w) -> void {
   if (role != part::back || lord_wire != w) return;
   lord_wire.reset();
-  heard = std::min(heard, h.now() - g.set.lose + g.set.beat * 4);
+  heard = std::min(heard, h.now() - g.set.lose + g.set.beat * 2);
 }
 
 auto cell::ack(bool nack) -> void {
@@ -533,6 +533,7 @@
         k.heard = h.now();
       }
       release();
+      if (m == fresh_back) stir.wake();
       auto e = row.epoch;
       while (on() && c.up() && !mates[m].nacked && h.now() - mates[m].heard <= g.set.lose && row.epoch == e) {
         auto& k = mates[m];
@@ -551,6 +552,8 @@
         if (k.next > last() || held) co_await grown.wait(h, h.now() + g.set.beat);
         else co_await nap(h, 0);
       }
+      // The same for the other side: a killed backup closes its link at once.
+      if (on() && !c.up()) mates[m].heard = std::min(mates[m].heard, h.now() - g.set.lose + g.set.beat * 2);
       moved = on() && c.up() && !mates[m].nacked && row.epoch != e;
     } catch (const verdict& v) {
       if (v.code == "old" && on() && num_or(v.more, "epoch", 0) > row.epoch) halt("its copy follows a newer epoch");
@@ -558,7 +561,7 @@
     if (!on()) break;
     if (moved) continue;  // only the epoch went up: join again at once
     mates[m].joined = false;
-    co_await rest(h, g.set.beat);
+    co_await rest(h, c.up() ? g.set.beat : g.set.beat / 8);
   }
 }
 
@@ -725,6 +728,7 @@
       if (role == part::prim || row.epoch != mine) co_return;
       go_live();
       hive::log(grade::note, g.set.name, id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
+      hurry = true;  // its new pair is sought at once
       if (was_silent) barred.insert(gone);  // not to be drawn before it is heard again
       // The silence that led to the claim counts against the other copy too.
       if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
@@ -890,10 +894,11 @@
   auto patience = h.spread(g.set.beat);
   while (true) {
     auto end = h.now() + g.set.beat;
-    while (h.now() < end) {
+    while (h.now() < end && !hurry) {
       auto in_time = co_await stir.wait(h, end);
       if (in_time) break;
     }
+    hurry = false;
     if (!g.ses.fresh()) continue;
     if (auto it = g.ses.known.cells.find(id); it != g.ses.known.cells.end()) meet(it->second);
     try {
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -144,7 +144,7 @@
   double tokens = 0, peak = 0;
   tick paced = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
-  bool handing = false;
+  bool handing = false, hurry = false;
   signal grown, rows_in, stir, dirty;
   nest home;
 };
