--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -182,6 +182,13 @@
     answer(*l, out, keep);
     if (!keep) break;
   }
+  // What still comes is read and dropped, so that the answer is not lost to a reset.
+  auto end = h.now() + sec / 2;
+  while (!l->shut && h.now() < end) {
+    l->in.clear();
+    l->eaten();
+    co_await l->more(end);
+  }
   l->close();
 }
 
