--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -227,7 +227,7 @@
       charters(c.verb);
     } else if (c.verb == "probe") {
       auto n = f.number;
-      f.operate([n](keeper& k) -> task<void> { co_await k.probe_all(std::max<std::int64_t>(1, n - 2), n); });
+      f.operate([n](keeper& k) -> task<void> { co_await k.probe_all(std::max<std::int64_t>(1, n - 5), n); });
     } else if (c.verb == "leave") {
       auto row = who(a[0]);
       auto kind = a[1];
