Tests move to test files beside their types; the disk's thread to its own header

Cause: tests stood in the .cpp files under HIVE_TESTS, so product sources were compiled twice and forager, swarm and wax included each other in a circle.

--- /dev/null
+++ b/swarm/fleet_test.cpp
@@ -0,0 +1,326 @@
+#include "swarm/fleet.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "wax/ring.hpp"
+
+// After all others: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+namespace {
+using namespace hive;
+auto quiet_shape() -> shape {
+  auto s = shape();
+  s.callers = 0;
+  return s;
+}
+auto call(fleet& f, const std::string& verb, const std::string& path, const std::string& body) -> reply {
+  auto out = std::make_shared<reply>();
+  f.desk->spawn([](fleet& fl, std::string v, std::string p, std::string b, std::shared_ptr<reply> o) -> task<void> {
+    *o = co_await fetch(*fl.outside, fl.webs[0], v, p, b, fl.outside->now() + 2 * sec);
+  }(f, verb, path, body, out));
+  f.world.run(f.world.clock + 2 * sec);
+  return *out;
+}
+}  // namespace
+TEST_GROUP(protections){};
+// Asks a queen for its vote, as a candidate that has everything would; -1: no answer.
+namespace {
+auto vote(fleet& f, const std::string& voter, const std::string& from, bool go) -> int {
+  auto ok = std::make_shared<int>(-1);
+  auto addr = f.all.at(voter)->set.addr;
+  f.desk->spawn([](fleet& fl, std::string to, std::string who, bool urged, std::shared_ptr<int> o) -> task<void> {
+    auto c = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+    while (!c.up()) co_await rest(*fl.outside, 10 * msec);
+    auto q = tree(branch{{"op", "l.vote"}, {"term", 1000}, {"from", who}, {"last", 1000000}, {"last_term", 999}, {"dry", false}, {"go", urged}});
+    auto r = co_await c.ask(std::move(q), fl.outside->now() + sec);
+    *o = yes(r, "ok");
+    fl.world.stop = true;
+  }(f, addr, from, go, ok));
+  auto end = f.world.clock + 3 * sec;
+  while (*ok < 0 && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+  return *ok;
+}
+auto follower(const fleet& f) -> std::string { return f.leader() == "queen-1" ? "queen-2" : "queen-1"; }
+}  // namespace
+// A vote is on the disk before it is told: after a loss of power the same term has no second one.
+TEST(protections, a_voter_votes_once_in_a_term) {
+  auto f = fleet(21, quiet_shape());
+  CHECK(f.begin());
+  auto who = follower(f);
+  LONGS_EQUAL(1, vote(f, who, "10.7.7.1:1", true));
+  f.power(f.all.at(who)->box->name, false);
+  f.power(f.all.at(who)->box->name, true);
+  LONGS_EQUAL(0, vote(f, who, "10.7.7.2:1", true));
+  LONGS_EQUAL(1, vote(f, who, "10.7.7.1:1", true));
+}
+// It may have promised its leader quiet just before it went down: leases hang on that.
+TEST(protections, a_restarted_voter_is_quiet_first) {
+  auto f = fleet(25, quiet_shape());
+  CHECK(f.begin());
+  auto who = follower(f);
+  auto box = f.all.at(who)->box->name;
+  for (const auto& q : f.names("queen"))
+    if (q != who) {
+      f.world.cut(box, f.all.at(q)->box->name);
+      f.world.cut(f.all.at(q)->box->name, box);
+    }
+  f.power(box, false);
+  f.power(box, true);
+  LONGS_EQUAL(0, vote(f, who, "10.7.7.1:1", false));
+  f.world.run(f.world.clock + 2 * sec);
+  LONGS_EQUAL(1, vote(f, who, "10.7.7.1:1", false));
+}
+// What a thawed or cut-off primary still sends changes nothing, on a live primary or a backup.
+TEST(protections, frames_and_joins_of_a_lower_epoch_are_refused) {
+  auto f = fleet(22, quiet_shape());
+  CHECK(f.begin());
+  auto id = std::string("alerts/0");
+  auto tried = 0;
+  for (const auto& who : {f.primary_of(id), name_of(f.all.at(f.primary_of(id))->c->ses.known.cells.at(id).back)}) {
+    auto& c = *f.all.at(who)->c;
+    auto last = num(c.cell_at(id)->stand(), "last");
+    auto said = std::make_shared<std::string>();
+    f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, std::int64_t at, std::int64_t epoch, std::shared_ptr<std::string> o) -> task<void> {
+      auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+      link.on_note = [o](const tree& t) { *o += yes(t, "nack") ? "nack " : "taken "; };
+      while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+      auto rows = twigs{branch{{"v", 1}, {"g", true}, {"e", branch{{"k", "c"}, {"d", 1}}}}};
+      link.tell(branch{{"op", "c.log"}, {"cell", cell_id}, {"epoch", 1}, {"from", "comb-9/x"}, {"prev", at}, {"prev_epoch", epoch}, {"rows", rows}});
+      try {
+        auto q = tree(branch{{"op", "c.join"}, {"cell", cell_id}, {"epoch", 1}, {"from", "comb-9/x"}, {"last", at}});
+        co_await link.ask(std::move(q), fl.outside->now() + sec);
+        *o += "joined";
+      } catch (const verdict& v) {
+        *o += v.code;
+      }
+    }(f, f.all.at(who)->set.addr, id, last, num(c.cell_at(id)->stand(), "epoch"), said));
+    f.world.run(f.world.clock + 200 * msec);
+    STRCMP_EQUAL("nack old", said->c_str());
+    CHECK(num(c.cell_at(id)->stand(), "last") < last + 3);
+    STRCMP_EQUAL(tried ? "backup" : "primary", str(c.cell_at(id)->stand(), "role").c_str());
+    ++tried;
+  }
+}
+// A lease alone is not enough: the charter that came with it, or a newer one, must be there.
+TEST(protections, a_lease_serves_only_its_charter) {
+  auto f = fleet(26, quiet_shape());
+  auto& door = f.world.machine_at("x1", "out");
+  auto there = sim_host(f.world, door, false, 5), here = sim_host(f.world, *f.world.machines.at("outside"), false, 6);
+  auto upper = nest(there);
+  auto charter = std::string();
+  auto a = answers();
+  a.ask = [&](wire_ptr, tree) -> task<tree> {
+    auto out = branch{{"lease", 2 * sec}, {"need", 5}, {"cells_need", 0}};
+    if (!charter.empty()) out["charter"] = charter;
+    co_return out;
+  };
+  upper.spawn(serve(there, upper, there.listen(door.ip + ":7000"), a, "test"));
+  auto c = f.all.at("scout-1")->set;
+  auto ses = session(here, c, std::vector<std::string>(1, door.ip + ":7000"));
+  charter = probe_charter(4, f.form.spaces());
+  f.world.run(f.world.clock + 2 * sec);
+  CHECK(ses.leased());
+  LONGS_EQUAL(4, ses.known.law->number);
+  CHECK(!ses.may_serve());
+  charter = probe_charter(5, f.form.spaces());
+  f.world.run(f.world.clock + 2 * sec);
+  CHECK(ses.may_serve());
+}
+// A vote from a disk other than the one seated does not count: it may have voted before it was lost.
+TEST(protections, an_amnesiac_elects_nobody) {
+  auto f = fleet(27, quiet_shape());
+  auto ids = std::make_shared<std::map<std::string, std::string>>();
+  auto hosts = std::vector<std::unique_ptr<sim_host>>();
+  auto homes = std::vector<std::unique_ptr<nest>>();
+  for (const auto& n : f.names("queen")) {
+    if (n == "queen-1") continue;
+    auto& p = *f.all.at(n);
+    hosts.push_back(std::make_unique<sim_host>(f.world, *p.box, false, 9));
+    homes.push_back(std::make_unique<nest>(*hosts.back()));
+    auto a = answers();
+    (*ids)[n] = "seated-" + n;
+    a.ask = [ids, n](wire_ptr, tree t) -> task<tree> {
+      auto out = branch{{"id", (*ids)[n]}, {"founded", false}, {"empty", true}, {"lead", ""}, {"term", num_or(t, "term", 0)}, {"ok", str_or(t, "op") == "l.vote"}, {"last", 0}};
+      if (yes(t, "dry")) out["term"] = 0;
+      co_return out;
+    };
+    homes.back()->spawn(serve(*hosts.back(), *homes.back(), hosts.back()->listen(p.set.addr), a, "test"));
+  }
+  f.start("queen-1");
+  f.world.run(f.world.clock + 200 * msec);
+  for (auto& [n, id] : *ids) id = "lost";
+  f.world.run(f.world.clock + 5 * sec);
+  CHECK(!f.all.at("queen-1")->q->leads());
+  for (auto& [n, id] : *ids) id = "seated-" + n;
+  auto led = false;
+  for (auto i = 0; i < 50; ++i) {
+    f.world.run(f.world.clock + 100 * msec);
+    led |= f.all.at("queen-1")->q->leads();
+  }
+  CHECK(led);
+}
+// Two changes at once could leave two majorities that do not meet.
+TEST(protections, one_voter_is_changed_at_a_time) {
+  auto f = fleet(28, quiet_shape());
+  CHECK(f.begin());
+  auto said = std::make_shared<std::vector<std::string>>(2);
+  auto lead = f.all.at(f.leader())->set.addr;
+  for (auto i = 0; i < 2; ++i)
+    f.desk->spawn([](fleet& fl, std::string to, int k, std::shared_ptr<std::vector<std::string>> o) -> task<void> {
+      auto c = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+      while (!c.up()) co_await rest(*fl.outside, 10 * msec);
+      co_await rest(*fl.outside, k * 100 * msec);
+      try {
+        auto q = tree(branch{{"op", "l.enter"}, {"addr", "10.7.7." + std::to_string(k + 1) + ":1"}, {"id", "new"}});
+        co_await c.ask(std::move(q), fl.outside->now() + 500 * msec);
+        (*o)[static_cast<std::size_t>(k)] = "ok";
+      } catch (const verdict& v) {
+        (*o)[static_cast<std::size_t>(k)] = v.code;
+      }
+    }(f, lead, i, said));
+  f.world.run(f.world.clock + 2 * sec);
+  STRCMP_EQUAL("busy", (*said)[1].c_str());
+}
+// Beside foragers of the first landing, which do not count their openings: each ask of theirs is answered,
+// and one that counts is answered once for each opening, a late one not at all.
+TEST(protections, openings_are_counted_where_the_forager_counts) {
+  auto f = fleet(30, quiet_shape());
+  CHECK(f.begin());
+  auto id = std::string("alerts/0");
+  auto said = std::make_shared<std::string>();
+  f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, std::shared_ptr<std::string> o) -> task<void> {
+    auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+    link.on_note = [o](const tree& t) {
+      if (str_or(t, "op") == "subbed") *o += str(t, "i") + std::to_string(num_or(t, "n", -1)) + " ";
+    };
+    while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+    auto ask = branch{{"op", "sub"}, {"cell", cell_id}, {"i", "old"}, {"t", "alerts/x"}, {"d", "w"}, {"a", -1}};
+    for (auto i = 0; i < 2; ++i) {
+      link.tell(ask);
+      co_await rest(*fl.outside, 100 * msec);
+    }
+    ask["i"] = "new";
+    auto turns = std::vector<int>{1, 1, 2, 1};
+    for (auto n : turns) {
+      ask["n"] = n;
+      link.tell(ask);
+      co_await rest(*fl.outside, 100 * msec);
+    }
+  }(f, f.all.at(f.primary_of(id))->set.addr, id, said));
+  f.world.run(f.world.clock + 2 * sec);
+  STRCMP_EQUAL("old0 old0 new1 new2 ", said->c_str());
+}
+// The primary ends within an operation: what came of it is cut off, and the backup goes live.
+TEST(protections, an_unfinished_operation_is_cut_off) {
+  auto f = fleet(29, quiet_shape());
+  CHECK(f.begin());
+  auto id = std::string("alerts/0");
+  auto old = f.primary_of(id);
+  auto row = f.all.at(old)->c->ses.known.cells.at(id);
+  auto who = name_of(row.back);
+  f.kill(old);
+  auto at = num(f.all.at(who)->c->cell_at(id)->stand(), "last");
+  f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, cell_row r, std::int64_t prev) -> task<void> {
+    auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+    while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+    auto rows = twigs{branch{{"v", r.epoch}, {"g", false}, {"e", branch{{"k", "c"}, {"d", 1}}}}};
+    link.tell(branch{{"op", "c.log"}, {"cell", cell_id}, {"epoch", r.epoch}, {"from", r.prim}, {"prev", prev}, {"prev_epoch", r.epoch}, {"rows", rows}});
+    co_await rest(*fl.outside, sec);
+  }(f, f.all.at(who)->set.addr, id, row, at));
+  f.world.run(f.world.clock + 100 * msec);
+  LONGS_EQUAL(at + 1, num(f.all.at(who)->c->cell_at(id)->stand(), "last"));
+  f.world.run(f.world.clock + 4 * sec);
+  STRCMP_EQUAL(who.c_str(), f.primary_of(id).c_str());
+}
+// The leader's own copy counts only once it is synced, and a follower's likewise.
+TEST(protections, a_charter_told_accepted_is_on_two_disks) {
+  for (auto slow_leader : {true, false}) {
+    auto f = fleet(23, quiet_shape());
+    CHECK(f.begin());
+    auto lead = f.leader();
+    auto far = lead == "queen-3" ? "queen-2" : "queen-3";
+    for (auto& n : f.names("queen")) f.all.at(n)->box->sync_cost = (n == lead) == slow_leader ? 300 * msec : msec;
+    f.world.cut(f.all.at(far)->box->name, "*");
+    f.world.cut("*", f.all.at(far)->box->name);
+    auto body = f.next_charter();
+    auto told = std::make_shared<int>(-1);
+    f.operate([&f, body, told](keeper& k) -> task<void> {
+      auto ok = co_await k.put(2, body);
+      if (ok) *told = f.queens_with(body);
+      f.world.stop = true;
+    });
+    auto end = f.world.clock + 10 * sec;
+    while (*told < 0 && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+    CHECK(*told >= 2);
+  }
+}
+// "Took hold" waits for a forager that is frozen with a lease in its hands.
+TEST(protections, took_hold_waits_for_each_lease) {
+  auto f = fleet(24, quiet_shape());
+  CHECK(f.begin());
+  f.world.run(f.world.clock + sec);
+  for (auto& n : f.names("f1")) f.freeze(n, true);
+  CHECK(f.all.at("forager-1")->f->ready());
+  auto body = f.next_charter();
+  auto who = std::make_shared<std::string>("never held");
+  f.operate([&f, body, who](keeper& k) -> task<void> {
+    auto ok = co_await k.put(2, body);
+    if (ok) ok = co_await k.await_held(2, f.outside->now() + 20 * sec);
+    if (ok) *who = f.behind(2);
+    f.world.stop = true;
+  });
+  auto end = f.world.clock + 20 * sec;
+  while (f.operating && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+  STRCMP_EQUAL("", who->c_str());
+}
+TEST_GROUP(disk_formats){};
+// The disks of the first landing's format, written by that version, open in this one.
+TEST(disk_formats, those_of_format_1_open) {
+  auto file = std::string(HIVE_SOURCE) + "/fixtures/format-1.json";
+  if (const auto* to = std::getenv("HIVE_SAVE_DISKS")) {  // how the fixture was made
+    auto f = fleet(11, quiet_shape());
+    CHECK(f.begin());
+    for (auto i = 1; i <= 3; ++i)
+      LONGS_EQUAL(200, call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"word )" + std::to_string(i) + "\"}").code);
+    f.power("all", false);
+    f.save_disks(to);
+    return;
+  }
+  auto f = fleet(12, quiet_shape());
+  f.load_disks(file);
+  for (auto& n : f.names("all")) f.start(n);
+  f.world.run(f.world.clock + 10 * sec);
+  auto r = call(f, "GET", "/v1/read?name=me&topic=alerts/x&after=0", "");
+  LONGS_EQUAL(200, r.code);
+  LONGS_EQUAL(3, list(r.body, "rows").size());
+  STRCMP_EQUAL("word 2", str(list(r.body, "rows")[1], "body").c_str());
+  r = call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":3,"body":"word 3"})");
+  CHECK(yes(r.body, "repeat"));
+  LONGS_EQUAL(200, call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":4,"body":"new"})").code);
+}
+TEST(disk_formats, a_foreign_or_damaged_folder_is_refused_with_the_reason) {
+  auto refuses = [](const std::string& name, const std::string& key, const std::string& val, const std::string& why) {
+    auto f = fleet(13, quiet_shape());
+    auto box = f.names(name);
+    f.all.at(name)->box->solid[key] = val;
+    try {
+      f.start(name);
+    } catch (const verdict& v) {
+      STRCMP_CONTAINS(why.c_str(), v.why.c_str());
+      return;
+    } catch (const bad_bytes& e) {
+      STRCMP_CONTAINS(why.c_str(), e.what());
+      return;
+    }
+    FAIL("it started");
+  };
+  refuses("comb-1", "somebody", "else", "foreign or damaged");
+  refuses("comb-1", "B/disk", seal(branch{{"format", 2}, {"id", "x"}}), "format is not 1");
+  refuses("comb-1", "B/disk", "torn", "checksum");
+  refuses("queen-1", "L/e/0000000000000001", "x", "lacks its first record");
+  refuses("queen-1", "L/meta", seal(branch{{"format", 9}, {"id", "x"}, {"term", 0}, {"voted", ""}, {"founded", false}}), "format is not 1");
+}
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -13,54 +13,13 @@
 #include <cstring>
 #include <thread>
 
+#include "wax/aside.hpp"
 #include "wax/ring.hpp"
 #include "wax/verdict.hpp"
 
 namespace hive {
 namespace {
 
-class fd {
- public:
-  explicit fd(int n) : n(n) {}
-  fd(fd&& o) noexcept : n(std::exchange(o.n, -1)) {}
-  auto operator=(fd&&) -> fd& = delete;
-  ~fd() {
-    if (n >= 0) ::close(n);
-  }
-  [[nodiscard]] auto get() const -> int { return n; }
-
- private:
-  int n;
-};
-
-// A libev watcher that stops when its holder ends.
-class watch {
- public:
-  watch(struct ev_loop* l, int f, int events, std::function<void(int)> fn)
-      : base(l), fn(std::move(fn)) {
-    ev_io_init(&io, &watch::hit, f, events);
-    io.data = this;
-    if (events) ev_io_start(base, &io);
-  }
-  watch(const watch&) = delete;
-  auto operator=(const watch&) -> watch& = delete;
-  ~watch() { ev_io_stop(base, &io); }
-  auto want(int events) -> void {
-    if ((io.events & (EV_READ | EV_WRITE)) == events && ev_is_active(&io)) return;
-    ev_io_stop(base, &io);
-    ev_io_set(&io, io.fd, events);
-    if (events) ev_io_start(base, &io);
-  }
-
- private:
-  static auto hit(struct ev_loop*, ev_io* w, int events) -> void {
-    static_cast<watch*>(w->data)->fn(events);
-  }
-  struct ev_loop* base;
-  ev_io io{};
-  std::function<void(int)> fn;
-};
-
 auto to_sock(const std::string& a) -> sockaddr_in {
   auto at = a.rfind(':');
   auto out = sockaddr_in();
@@ -177,76 +136,6 @@
   watch eye;
 };
 
-// The disk's own thread: it takes one piece of work at a time through a pipe and says
-// through another that it is done, while the loop goes on. The one exception to "one
-// thread" (design 3.1); the two sides share nothing but the piece that is handed over.
-class aside {
- public:
-  aside(struct ev_loop* base, loop& l)
-      : hub(l), there(conduit()), back(conduit()), eye(base, back.first.get(), EV_READ, [this](int) { hear(); }),
-        hand([in = there.first.get(), out = back.second.get()] { toil(in, out); }) {}
-  aside(const aside&) = delete;
-  auto operator=(const aside&) -> aside& = delete;
-  ~aside() {
-    hand_over(nullptr);
-    hand.join();
-  }
-  // The piece must not throw; what it returns is its fault, empty if it had none.
-  auto run(std::function<std::string()> work) -> task<std::string> {
-    auto p = std::make_shared<piece>();
-    p->work = std::move(work);
-    under_way = p;
-    hand_over(p.get());
-    while (!p->over) co_await done.wait(hub);
-    co_return p->fault;
-  }
-
- private:
-  struct piece {
-    std::function<std::string()> work;
-    std::string fault;
-    bool over = false;
-  };
-  using pair = std::pair<fd, fd>;
-  static auto conduit() -> pair {
-    auto f = std::array<int, 2>();
-    if (::pipe2(f.data(), O_CLOEXEC) != 0) throw verdict("disk", std::strerror(errno));
-    return {fd(f[0]), fd(f[1])};
-  }
-  auto hand_over(piece* p) -> void {
-    while (::write(there.second.get(), &p, sizeof p) < 0 && errno == EINTR) {
-    }
-  }
-  static auto toil(int in, int out) -> void {
-    auto mask = sigset_t();
-    sigfillset(&mask);
-    pthread_sigmask(SIG_BLOCK, &mask, nullptr);  // signals are the loop's
-    while (true) {
-      auto* p = static_cast<piece*>(nullptr);
-      auto n = ::read(in, &p, sizeof p);
-      if (n < 0 && errno == EINTR) continue;
-      if (n != sizeof p || !p) return;
-      p->fault = p->work();
-      auto one = char{1};
-      while (::write(out, &one, 1) < 0 && errno == EINTR) {
-      }
-    }
-  }
-  auto hear() -> void {
-    auto one = char{0};
-    if (::read(back.first.get(), &one, 1) != 1 || !under_way) return;
-    under_way->over = true;
-    under_way.reset();
-    done.wake();
-  }
-  loop& hub;
-  signal done;
-  std::shared_ptr<piece> under_way;  // kept until done, whoever still waits for it
-  pair there, back;
-  watch eye;
-  std::thread hand;
-};
-
 class level_store : public store {
  public:
   level_store(struct ev_loop* base, loop& l, const std::string& folder) : store(l), side(base, l) {
@@ -394,86 +283,3 @@
 }
 
 }  // namespace hive
-
-#ifdef HIVE_TESTS
-#include <CppUTest/TestHarness.h>
-
-#include <filesystem>
-namespace {
-using namespace hive;
-}
-TEST_GROUP(real_disk){};
-// The piece of work waits for what only the loop can do: were the loop held, this would not end.
-TEST(real_disk, the_loop_goes_on_while_the_disk_works) {
-  auto h = evhost("");
-  auto side = aside(h.base, h);
-  auto home = nest(h);
-  auto way = std::array<int, 2>();
-  LONGS_EQUAL(0, ::pipe2(way.data(), O_CLOEXEC));
-  auto in = fd(way[0]), out = fd(way[1]);
-  auto said = std::string("nothing");
-  home.spawn([](evhost& hh, aside& s, int f, std::string& what) -> task<void> {
-    auto work = std::function<std::string()>([f] {
-      auto one = char{0};
-      return ::read(f, &one, 1) == 1 ? std::string("heard ") + one : std::string("torn");
-    });
-    what = co_await s.run(std::move(work));
-    hh.end();
-  }(h, side, in.get(), said));
-  home.spawn([](evhost& hh, int f) -> task<void> {
-    for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);  // turns of the loop, after the work was handed over
-    auto n = ::write(f, "x", 1);
-    (void)n;
-  }(h, out.get()));
-  h.run();
-  STRCMP_EQUAL("heard x", said.c_str());
-}
-// The group's write once ran in the task that asked first; with its end, no sync ever came back.
-TEST(real_disk, a_sync_outlives_who_asked_for_it) {
-  char dir[] = "/tmp/hive-test-XXXXXX";
-  CHECK(::mkdtemp(dir) != nullptr);
-  {
-    auto h = evhost(dir);
-    auto home = nest(h);
-    auto brief = std::make_unique<nest>(h);
-    brief->spawn([](evhost& hh) -> task<void> {
-      hh.disk()->put("a", "1");
-      co_await hh.disk()->sync();
-    }(h));
-    home.spawn([](evhost& hh, std::unique_ptr<nest>& other) -> task<void> {
-      for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);
-      other.reset();
-      hh.disk()->put("b", "2");
-      co_await hh.disk()->sync();
-      hh.end();
-    }(h, brief));
-    h.run();
-  }
-  std::filesystem::remove_all(dir);
-}
-TEST(real_disk, what_was_synced_is_there_after_reopening) {
-  char dir[] = "/tmp/hive-test-XXXXXX";
-  CHECK(::mkdtemp(dir) != nullptr);
-  {
-    auto h = evhost(dir);
-    auto home = nest(h);
-    home.spawn([](evhost& hh) -> task<void> {
-      hh.disk()->put("a", "1");
-      hh.disk()->put("b", "2");
-      co_await hh.disk()->sync();
-      hh.disk()->cut("a");
-      co_await hh.disk()->sync();
-      hh.disk()->put("c", "not synced");
-      hh.end();
-    }(h));
-    h.run();
-  }
-  {
-    auto h = evhost(dir);
-    CHECK(!h.disk()->get("a"));
-    STRCMP_EQUAL("2", h.disk()->get("b").value_or("").c_str());
-    CHECK(!h.disk()->get("c"));
-  }
-  std::filesystem::remove_all(dir);
-}
-#endif
--- /dev/null
+++ b/wax/evhost_test.cpp
@@ -0,0 +1,99 @@
+#include "wax/evhost.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <leveldb/db.h>
+#include <leveldb/write_batch.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "wax/aside.hpp"
+#include "wax/ring.hpp"
+#include "wax/verdict.hpp"
+
+// After all others: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+namespace {
+using namespace hive;
+}
+TEST_GROUP(real_disk){};
+// The piece of work waits for what only the loop can do: were the loop held, this would not end.
+TEST(real_disk, the_loop_goes_on_while_the_disk_works) {
+  auto h = evhost("");
+  auto side = aside(h.base, h);
+  auto home = nest(h);
+  auto way = std::array<int, 2>();
+  LONGS_EQUAL(0, ::pipe2(way.data(), O_CLOEXEC));
+  auto in = fd(way[0]), out = fd(way[1]);
+  auto said = std::string("nothing");
+  home.spawn([](evhost& hh, aside& s, int f, std::string& what) -> task<void> {
+    auto work = std::function<std::string()>([f] {
+      auto one = char{0};
+      return ::read(f, &one, 1) == 1 ? std::string("heard ") + one : std::string("torn");
+    });
+    what = co_await s.run(std::move(work));
+    hh.end();
+  }(h, side, in.get(), said));
+  home.spawn([](evhost& hh, int f) -> task<void> {
+    for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);  // turns of the loop, after the work was handed over
+    auto n = ::write(f, "x", 1);
+    (void)n;
+  }(h, out.get()));
+  h.run();
+  STRCMP_EQUAL("heard x", said.c_str());
+}
+// The group's write once ran in the task that asked first; with its end, no sync ever came back.
+TEST(real_disk, a_sync_outlives_who_asked_for_it) {
+  char dir[] = "/tmp/hive-test-XXXXXX";
+  CHECK(::mkdtemp(dir) != nullptr);
+  {
+    auto h = evhost(dir);
+    auto home = nest(h);
+    auto brief = std::make_unique<nest>(h);
+    brief->spawn([](evhost& hh) -> task<void> {
+      hh.disk()->put("a", "1");
+      co_await hh.disk()->sync();
+    }(h));
+    home.spawn([](evhost& hh, std::unique_ptr<nest>& other) -> task<void> {
+      for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);
+      other.reset();
+      hh.disk()->put("b", "2");
+      co_await hh.disk()->sync();
+      hh.end();
+    }(h, brief));
+    h.run();
+  }
+  std::filesystem::remove_all(dir);
+}
+TEST(real_disk, what_was_synced_is_there_after_reopening) {
+  char dir[] = "/tmp/hive-test-XXXXXX";
+  CHECK(::mkdtemp(dir) != nullptr);
+  {
+    auto h = evhost(dir);
+    auto home = nest(h);
+    home.spawn([](evhost& hh) -> task<void> {
+      hh.disk()->put("a", "1");
+      hh.disk()->put("b", "2");
+      co_await hh.disk()->sync();
+      hh.disk()->cut("a");
+      co_await hh.disk()->sync();
+      hh.disk()->put("c", "not synced");
+      hh.end();
+    }(h));
+    h.run();
+  }
+  {
+    auto h = evhost(dir);
+    CHECK(!h.disk()->get("a"));
+    STRCMP_EQUAL("2", h.disk()->get("b").value_or("").c_str());
+    CHECK(!h.disk()->get("c"));
+  }
+  std::filesystem::remove_all(dir);
+}
