Spaces by longest prefix in shared pools; cursors, subscriber counts, sending links away

Cause: the users' platform names topics freely, lets spaces come and go, counts subscribers, moves links by address and carries places as text; the product had fixed space/rest names, cells founded for each space, positions as numbers, and refused at once while a takeover was under way. Change: a space has a prefix and a pool of cells; a message is kept as long as its own space says; count, cursor and return-to in the long link; the door's seam (talk) lets doors hand links in-process; a publish waits for a takeover under way, at most half of its space's time-out; a leaving forager serves on until its links are sent away; its tender wakes for news and not twenty times a second.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -141,8 +141,8 @@
 auto cell::law_entry() -> std::optional<tree> {
   const auto& law = g.ses.known.law;
   if (!law || law->number <= state.law) return {};
-  auto it = law->spaces.find(id.substr(0, id.find('/')));
-  auto keep = it == law->spaces.end() ? state.keep : it->second.keep_s * 1000;
+  auto it = law->pools.find(id.substr(0, id.find('/')));
+  auto keep = it == law->pools.end() ? state.keep : it->second.keep_ms;
   return branch{{"k", "l"}, {"keep", keep}, {"resend", g.set.resend / msec}, {"n", law->number}};
 }
 
@@ -271,7 +271,10 @@
   ++admitted;
   waits[k].push_back(s);
   auto ops = clock_entry();
-  ops.push_back(branch{{"k", "p"}, {"t", topic}, {"d", who}, {"s", seq}, {"b", body}, {"w", h.wall()}});
+  auto e = branch{{"k", "p"}, {"t", topic}, {"d", who}, {"s", seq}, {"b", body}, {"w", h.wall()}};
+  // How long its space keeps it is the forager's word, which let it in by its charter.
+  if (const auto& keep = sub(t, "keep"); keep.is_int64()) e["keep"] = keep;
+  ops.emplace_back(std::move(e));
   operate(std::move(ops));
 }
 
@@ -320,6 +323,22 @@
   release();
 }
 
+// Subscribers are counted from the replayed state, each caller once, whatever old link of it
+// still lingers. One whose forager's link has gone counts for as long as a new one may take.
+auto cell::count(const tree& t, slot_ptr s) -> void {
+  if (role != part::prim) {
+    s->bad = verdict("not_here", id + " is not led here", ran::no, g.set.beat / msec);
+    s->done.wake();
+    return;
+  }
+  auto who = std::set<std::string_view>();
+  if (auto it = state.topics.find(str(t, "t")); it != state.topics.end())
+    for (const auto& sid : it->second.open)
+      if (auto l = lonely.find(sid); l == lonely.end() || h.now() - l->second < g.set.lose) who.insert(state.open.at(sid).who);
+  outs.push_back({applied, {}, s, branch{{"count", who.size()}}});
+  release();
+}
+
 auto cell::lost(const wire_ptr& w) -> void {
   for (auto it = wires.begin(); it != wires.end();) {
     if (it->second.w == w) {
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -39,6 +39,7 @@
   auto subscribe(const tree& t, const wire_ptr& w) -> void;
   auto finish(const std::string& sid) -> void;
   auto read(const tree& t, slot_ptr s) -> void;
+  auto count(const tree& t, slot_ptr s) -> void;  // who is subscribed to a topic
   auto lost(const wire_ptr& w) -> void;  // a forager's link ended
 
   // The logging channel.
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -117,8 +117,8 @@
 
 auto comb::lane(const std::string& id) const -> std::size_t {
   if (!ses.known.law) return 9;
-  auto it = ses.known.law->spaces.find(id.substr(0, id.find('/')));
-  return it == ses.known.law->spaces.end() ? 9 : 9 - static_cast<std::size_t>(it->second.urgency);
+  auto it = ses.known.law->pools.find(id.substr(0, id.find('/')));
+  return it == ses.known.law->pools.end() ? 9 : 9 - static_cast<std::size_t>(it->second.urgency);
 }
 
 auto comb::queue(command c) -> void {
@@ -156,6 +156,7 @@
         } else if (c.what == command::kind::publish) it->second->publish(c.t, c.s);
         else if (c.what == command::kind::subscribe) it->second->subscribe(c.t, c.w);
         else if (c.what == command::kind::finish) it->second->finish(str(c.t, "i"));
+        else if (c.what == command::kind::count) it->second->count(c.t, c.s);
         else it->second->read(c.t, c.s);
       } catch (const bad_bytes& e) {
         if (c.s) {
@@ -173,9 +174,9 @@
 
 auto comb::ask(wire_ptr w, tree t) -> task<tree> {
   auto op = str(t, "op");
-  if (op == "pub" || op == "read") {
+  if (op == "pub" || op == "read" || op == "count") {
     auto id = str(t, "cell");
-    auto kind = op == "pub" ? command::kind::publish : command::kind::read;
+    auto kind = op == "pub" ? command::kind::publish : op == "read" ? command::kind::read : command::kind::count;
     if (lanes[lane(id)].size() >= lane_most) throw verdict("busy", "too many requests wait", ran::no, set.lag / msec);
     auto s = std::make_shared<cell::slot>();
     queue({kind, id, std::move(t), w, s});
--- a/comb/comb.hpp
+++ b/comb/comb.hpp
@@ -23,7 +23,7 @@
 
  private:
   struct command {
-    enum class kind { publish, subscribe, finish, read, lost } what;
+    enum class kind { publish, subscribe, finish, read, count, lost } what;
     std::string cell;
     tree t;
     wire_ptr w;
--- a/comb/hoard.cpp
+++ b/comb/hoard.cpp
@@ -40,7 +40,7 @@
 auto hoard::expire() -> void {
   auto age = std::max(keep, resend) + slack;
   for (auto& [name, t] : topics) {
-    while (!t.kept.empty() && t.kept.front().at + age < clock) {
+    while (!t.kept.empty() && t.kept.front().at + std::max(t.kept.front().keep, resend) + slack < clock) {
       t.floor = t.kept.front().pos;
       t.kept.pop_front();
     }
@@ -71,7 +71,7 @@
     c.at = clock;
     auto& t = topics[topic];
     t.at = clock;
-    t.kept.push_back({pos, who, str(e, "b"), seq, clock, num(e, "w")});
+    t.kept.push_back({pos, who, str(e, "b"), seq, clock, num(e, "w"), num_or(e, "keep", keep)});
     out.push_back({output::kind::accepted, {who}, topic, t.kept.back(), pos});
     auto ids = std::vector<std::string>();
     for (const auto& id : t.open) {
@@ -115,7 +115,7 @@
   auto ts = twigs();
   for (const auto& [name, t] : topics) {
     auto rows = twigs();
-    for (const auto& m : t.kept) rows.push_back(twigs{m.pos, m.from, m.body, m.seq, m.at, m.wall});
+    for (const auto& m : t.kept) rows.push_back(twigs{m.pos, m.from, m.body, m.seq, m.at, m.wall, m.keep});
     ts.push_back(twigs{name, t.floor, rows, t.at});
   }
   auto os = twigs();
@@ -144,7 +144,8 @@
     for (const auto& m : a.at(2).as_array()) {
       const auto& f = m.as_array();
       row.kept.push_back({f.at(0).as_int64(), std::string(f.at(1).as_string()), std::string(f.at(2).as_string()),
-                          f.at(3).as_int64(), f.at(4).as_int64(), f.at(5).as_int64()});
+                          f.at(3).as_int64(), f.at(4).as_int64(), f.at(5).as_int64(),
+                          f.size() > 6 ? f.at(6).as_int64() : h.keep});  // the first landings' captures lack it
     }
   }
   for (const auto& r : list(t, "open")) {
--- a/comb/hoard.hpp
+++ b/comb/hoard.hpp
@@ -23,6 +23,7 @@
   std::int64_t pos = 0;
   std::string from, body;
   std::int64_t seq = 0, at = 0, wall = 0;  // at: the cell's clock; wall: a date for readers
+  std::int64_t keep = 0;                   // milliseconds: its space's, when it was published
 };
 
 struct listener {  // one open subscription
--- a/comb/hoard_test.cpp
+++ b/comb/hoard_test.cpp
@@ -76,3 +76,19 @@
   LONGS_EQUAL(a.size(), b.size());
   CHECK(two.capture() == h.capture());
 }
+TEST(hoard_entries, each_message_is_kept_as_long_as_its_own_space_says) {
+  auto h = hive::hoard();
+  h.keep = 35000;
+  auto brief = pub("c", 1);
+  brief.as_object()["keep"] = 0;  // still known for the resend window, as any
+  h.apply(1, brief);
+  auto other = hive::branch{{"k", "p"}, {"t", "a/y"}, {"d", "c"}, {"s", 2}, {"b", "hello"}, {"w", 0}, {"keep", 20000}};
+  h.apply(2, other);
+  h.apply(3, tock(15000));
+  LONGS_EQUAL(0, h.topics["a/x"].kept.size());
+  LONGS_EQUAL(1, h.topics["a/y"].kept.size());
+  auto two = hive::hoard::restore(h.capture());
+  CHECK(two.capture() == h.capture());
+  two.apply(4, tock(7000));
+  LONGS_EQUAL(0, two.topics["a/y"].kept.size());
+}
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 
+#include "forager/cursor.hpp"
+#include "forager/http_talk.hpp"
 #include "wax/ring.hpp"
 
 namespace hive {
 namespace {
 
 constexpr auto flying_most = 64;  // publishes of one link that wait for their answer
-constexpr auto topics_most = std::size_t{1000};
 
 auto good_name(const std::string& s) -> bool {
   if (s.empty() || s.size() > 100) return false;
@@ -33,7 +34,7 @@
   p.page = [this](request r) { return page(std::move(r)); };
   p.stream = [this](request r, std::shared_ptr<lines> io) { return stream(std::move(r), std::move(io)); };
   p.body_most = static_cast<std::size_t>(set.body) * 2 + 4096;
-  home.spawn(serve_web(h, home, h.listen(c.web), p));
+  if (!c.web.empty()) home.spawn(serve_web(h, home, h.listen(c.web), p));
   home.spawn(tender());
   home.spawn(beats());
 }
@@ -50,16 +51,12 @@
       if (!up)
         for (auto& [sid, r] : subs)
           if (r.at == addr) r.open = false, r.at.clear();
-      stir.wake();
+      ses.news.wake();
     };
   }
   return *c;
 }
 
-auto forager::home_of(const std::string& topic) const -> std::string {
-  const auto* s = ses.known.law ? ses.known.law->space_of(topic) : nullptr;
-  return s ? cell_of(*s, topic) : "";
-}
 auto forager::lead_of(const std::string& cell) const -> std::string {
   auto it = ses.known.cells.find(cell);
   if (it == ses.known.cells.end() || it->second.prim.empty()) return "";
@@ -68,14 +65,14 @@
 }
 
 // The request's way through the rules of the newest charter (design 7.2).
-auto forager::judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> std::string {
-  if (going) throw verdict("leaving", "this node is going down", ran::no, h.spread(set.lose) / msec);
-  if (!ready()) throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
+auto forager::judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> way {
+  if (!ses.may_serve() || !ses.fresh()) throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
   if (!good_topic(topic)) throw verdict("malformed", "'" + topic + "' is no topic");
   auto r = ses.known.law->judge(a, who, topic, n);
   if (!r.ok) throw verdict("denied", r.why);
-  if (!good_topic(r.topic) || !ses.known.law->space_of(r.topic)) throw verdict("no_space", "no space holds '" + r.topic + "'");
-  return r.topic;
+  const auto* s = good_topic(r.topic) ? ses.known.law->space_of(r.topic) : nullptr;
+  if (!s) throw verdict("no_space", "no space holds '" + r.topic + "'");
+  return {r.topic, *s};
 }
 
 auto forager::fields(const tree& t, std::initializer_list<const char*> known) const -> void {
@@ -84,25 +81,68 @@
       throw verdict("malformed", "unknown field '" + std::string(kv.key()) + "'");
 }
 
+// Asks the cell's primary. While a takeover is under way it waits for the new one, as long as
+// the request can still run in its time; nothing is held back for any other reason (design 7.2).
+auto forager::ask_lead(std::string cell, tree q, tick until) -> task<tree> {
+  auto back = h.spread(set.lose / 4) / msec;
+  auto was = std::string();
+  while (true) {
+    auto addr = lead_of(cell);
+    auto v = verdict("away", "no primary of " + cell + " is in reach", ran::no, back);
+    if (!addr.empty() && addr != was) {
+      auto& c = reach(addr);
+      if (c.up()) {
+        try {
+          co_return co_await c.ask(q, until);
+        } catch (const verdict& e) {
+          if (e.run != ran::no || (e.code != "not_here" && e.code != "moving" && e.code != "away")) throw;
+          v = e;
+          if (e.code == "not_here") was = addr;  // not the same again before the table says so
+        }
+      }
+    }
+    auto end = std::min(until, h.now() + set.beat / 2);
+    if (h.now() >= until) throw v;
+    co_await ses.news.wait(h, end);
+    if (lead_of(cell) != was || h.now() >= end) was.clear();
+  }
+}
+
 auto forager::send_publish(std::string who, std::string topic, std::int64_t seq, std::string body) -> task<tree> {
   if (!good_name(who)) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
   if (body.size() > static_cast<std::size_t>(set.body)) throw verdict("too_long", "a message over " + std::to_string(set.body) + " bytes");
   if (seq < 1) throw verdict("below", "seq wants a whole number from 1 up");
-  auto to = judge(act::publish, who, topic, body.size());
-  auto cell = home_of(to);
-  auto addr = lead_of(cell);
-  auto back = h.spread(set.lose / 4) / msec;
-  if (addr.empty()) throw verdict("away", "no primary of " + cell + " is in reach", ran::no, back);
-  auto& c = reach(addr);
-  if (!c.up()) throw verdict("away", "the primary of " + cell + " is not in reach", ran::no, back);
-  auto q = tree(branch{{"op", "pub"}, {"cell", cell}, {"t", to}, {"d", who}, {"s", seq}, {"b", body}});
-  auto r = co_await c.ask(std::move(q), h.now() + set.lose * 2);
+  auto w = judge(act::publish, who, topic, body.size());
+  auto cell = cell_of(w.home, w.topic);
+  auto until = h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.lose * 2);
+  auto q = tree(branch{{"op", "pub"}, {"cell", cell}, {"t", w.topic}, {"d", who}, {"s", seq}, {"b", body}, {"keep", w.home.keep_ms}});
+  auto r = co_await ask_lead(cell, std::move(q), until);
   auto out = branch{{"verdict", "acked"}, {"topic", topic}, {"seq", seq}};
   if (const auto& p = sub(r, "pos"); p.is_int64()) out["pos"] = p;
   if (yes(r, "repeat")) out["repeat"] = true;
   co_return out;
 }
 
+// How many callers are subscribed to a topic.
+auto forager::count_topic(downstream_ptr d, tree t) -> task<void> {
+  auto out = branch();
+  try {
+    auto w = judge(act::subscribe, d->name, str(t, "topic"), 0);
+    auto cell = cell_of(w.home, w.topic);
+    auto q = tree(branch{{"op", "count"}, {"cell", cell}, {"t", w.topic}});
+    auto r = co_await ask_lead(cell, std::move(q), h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.budget));
+    out = branch{{"verdict", "done"}, {"count", num(r, "count")}};
+  } catch (const verdict& v) {
+    out = v.to_tree().as_object();
+  }
+  out["op"] = "verdict";
+  out["for"] = "count";
+  for (auto k : {"topic", "id"})
+    if (const auto& f = sub(t, k); !f.is_null()) out[k] = f;
+  --d->flying;
+  say(d, out);
+}
+
 auto forager::say(const downstream_ptr& d, const tree& t) -> void {
   if (d->over) return;
   if (d->io->way().owed() > static_cast<std::size_t>(set.buffer) / 16) {
@@ -151,19 +191,28 @@
 auto forager::subscribe(const downstream_ptr& d, const tree& t) -> void {
   auto asked = str(t, "topic");
   auto after = std::int64_t{-1};
+  const auto& text = sub(t, "cursor");
+  if (!text.is_null() && !text.is_string()) throw verdict("malformed", "cursor wants a string");
   if (const auto& a = sub(t, "after"); !a.is_null()) {
+    if (!text.is_null()) throw verdict("malformed", "after stands beside cursor");
     if (!a.is_int64() || a.get_int64() < 0) throw verdict("malformed", "after wants a position");
     after = a.get_int64();
   }
   if (d->topics.count(asked)) throw verdict("taken", "this link has subscribed to it already");
-  if (d->topics.size() >= topics_most) throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
-  auto to = judge(act::subscribe, d->name, asked, 0);
+  auto w = judge(act::subscribe, d->name, asked, 0);
+  if (d->topics.size() >= static_cast<std::size_t>(ses.known.law->subscriptions)) throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
+  auto cell = cell_of(w.home, w.topic);
+  if (text.is_string()) {
+    auto pos = read_cursor(std::string(text.get_string()), w.topic, cell);
+    if (!pos) throw verdict("gone", "that cursor is no place on this topic");
+    after = *pos;
+  }
   auto sid = set.name + ":" + mark + ":" + std::to_string(++count);
   d->topics[asked] = sid;
   auto& r = subs[sid];
   r.asked = asked;
-  r.topic = to;
-  r.cell = home_of(to);
+  r.topic = w.topic;
+  r.cell = cell;
   r.last = after;
   r.to = d;
   open_sub(sid, r);
@@ -188,6 +237,7 @@
       fields(t, {"op"});
       return;
     }
+    if (op == "bad") throw verdict(str_or(t, "code", "malformed"), str_or(t, "why"));
     if (op == "enrol") {
       fields(t, {"op", "name", "id"});
       if (!sub(t, "name").is_string() || !good_name(str(t, "name"))) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
@@ -206,10 +256,17 @@
       return home.spawn(publish(d, std::move(t)));
     }
     if (op == "subscribe") {
-      fields(t, {"op", "topic", "after", "id"});
+      fields(t, {"op", "topic", "after", "cursor", "id"});
       if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
       return subscribe(d, t);
     }
+    if (op == "count") {
+      fields(t, {"op", "topic", "id"});
+      if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
+      if (d->flying >= flying_most) throw verdict("busy", "too many requests of this link wait", ran::no, set.beat / msec);
+      ++d->flying;
+      return home.spawn(count_topic(d, std::move(t)));
+    }
     if (op == "unsubscribe") {
       fields(t, {"op", "topic", "id"});
       if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
@@ -238,39 +295,38 @@
   for (const auto& sid : sids) finish(sid, true);
 }
 
-// One task per downstream link, from its first line to its last.
-auto forager::stream(request, std::shared_ptr<lines> io) -> task<void> {
+// One task per downstream link, from its first request to its last.
+auto forager::attend(std::shared_ptr<talk> io) -> task<void> {
   auto d = std::make_shared<downstream>();
   d->io = io;
-  if (!ready() || links.size() >= static_cast<std::size_t>(set.links)) {
-    auto v = verdict(ready() ? "busy" : "not_ready", "this node takes no links now", ran::no, h.spread(set.lose) / msec);
+  ever = ever || ready();
+  // One that has served keeps its links while a lease is lacking: each request is told so.
+  if (!ever || links.size() >= static_cast<std::size_t>(set.links)) {
+    auto first = co_await io->next(h.now() + set.lose);
+    auto v = verdict(ever ? "busy" : "not_ready", "this node takes no links now", ran::no, h.spread(set.lose) / msec);
     auto out = v.to_tree().as_object();
     out["op"] = "verdict";
     out["for"] = "link";
-    say(d, out);
+    if (first) say(d, out);
     io->end();
     co_return;
   }
   d->id = ++seated;
   links[d->id] = d;
-  try {
-    while (!d->over) {
-      auto l = co_await io->next(never);
-      if (!l) break;
-      auto ec = boost::json::error_code();
-      auto t = boost::json::parse(*l, ec);
-      line(d, ec ? tree() : std::move(t));
-    }
-  } catch (const verdict& v) {  // a line beyond all bounds
-    auto out = v.to_tree().as_object();
-    out["op"] = "verdict";
-    out["for"] = "link";
-    say(d, out);
+  while (!d->over) {
+    auto t = co_await io->next(never);
+    if (!t) break;
+    auto last = yes(*t, "last");  // what came cannot be read on
+    line(d, std::move(*t));
+    if (last) break;
+    if (going && d->id > before && !d->told) send_away(d);  // one that came too late
   }
   drop(d);
   io->end();
 }
 
+auto forager::stream(request, std::shared_ptr<lines> io) -> task<void> { co_await attend(std::make_shared<http_talk>(std::move(io))); }
+
 auto forager::on_note(const std::string& addr, const tree& t) -> void {
   auto op = str_or(t, "op");
   if (op == "got") {
@@ -284,7 +340,9 @@
       if (!r.open) continue;
       r.last = pos;
       ++delivered;
-      say(r.to, branch{{"op", "deliver"}, {"topic", r.asked}, {"pos", pos}, {"from", sub(t, "d")}, {"seq", sub(t, "s")}, {"body", sub(t, "b")}, {"at", sub(t, "w")}});
+      auto out = branch{{"op", "deliver"}, {"topic", r.asked}, {"pos", pos}, {"from", sub(t, "d")}, {"seq", sub(t, "s")}, {"body", sub(t, "b")}, {"at", sub(t, "w")}};
+      if (r.to->io->cursors()) out["cursor"] = write_cursor(r.topic, r.cell, pos);
+      say(r.to, out);
     }
     return;
   }
@@ -299,7 +357,9 @@
       if (r.last < 0) r.last = num(t, "pos");
       if (!r.told) {
         r.told = true;
-        say(r.to, branch{{"op", "verdict"}, {"for", "subscribe"}, {"verdict", "done"}, {"topic", r.asked}, {"pos", r.last}});
+        auto out = branch{{"op", "verdict"}, {"for", "subscribe"}, {"verdict", "done"}, {"topic", r.asked}, {"pos", r.last}};
+        if (r.to->io->cursors()) out["cursor"] = write_cursor(r.topic, r.cell, r.last);
+        say(r.to, out);
       }
       return;
     }
@@ -326,36 +386,47 @@
         r.open = false;
         r.at.clear();
       }
-    stir.wake();
+    ses.news.wake();
   }
 }
 
-// Keeps every subscription open at the cell's present primary, from where it stands.
+// Keeps every subscription open at the cell's present primary, from where it stands. Wakes for
+// news; by the clock only while one is not open.
 auto forager::tender() -> task<void> {
+  auto pending = false;
   while (true) {
-    auto end = h.now() + set.beat / 2;
+    auto end = pending ? h.now() + set.beat / 2 : h.now() + set.lose;
     co_await ses.news.wait(h, end);
+    pending = false;
+    ever = ever || ready();
     if (ses.known.law && ses.known.law->number != judged) {
       judged = ses.known.law->number;
-      auto out = std::vector<std::string>();
+      auto out = std::vector<std::pair<std::string, const char*>>();
       for (auto& [sid, r] : subs) {
         auto v = ses.known.law->judge(act::subscribe, r.to->name, r.asked, 0);
-        if (!v.ok || v.topic != r.topic) out.push_back(sid);
+        const auto* s = v.ok && v.topic == r.topic ? ses.known.law->space_of(v.topic) : nullptr;
+        if (!s) out.emplace_back(sid, "denied");
+        else if (cell_of(*s, r.topic) != r.cell) out.emplace_back(sid, "gone");  // another space took the topic over
       }
-      for (auto& sid : out) {
+      for (auto& [sid, code] : out) {
         auto& r = subs[sid];
-        say(r.to, branch{{"op", "ended"}, {"for", "subscribe"}, {"verdict", "refused"}, {"code", "denied"}, {"why", "a newer charter ends it"}, {"topic", r.asked}, {"pos", r.last}});
+        say(r.to, branch{{"op", "ended"}, {"for", "subscribe"}, {"verdict", "refused"}, {"code", code}, {"why", "a newer charter ends it"}, {"topic", r.asked}, {"pos", r.last}});
         finish(sid, true);
       }
     }
-    for (const auto& [n, s] : ses.known.all())
-      if (s.kind == "comb" && !s.addr.empty()) reach(s.addr);  // links stand before they are needed
+    for (const auto& [q, tab] : ses.known.tables)
+      for (const auto& [n, s] : tab.rows)
+        if (s.kind == "comb" && !s.addr.empty()) reach(s.addr);  // links stand before they are needed
     auto now = h.now();
     for (auto& [sid, r] : subs) {
       auto it = ses.known.cells.find(r.cell);
-      if (it == ses.known.cells.end()) continue;
+      if (it == ses.known.cells.end()) {
+        pending = true;
+        continue;
+      }
       auto moved = it->second.epoch != r.epoch && lead_of(r.cell) != r.at;
       if (r.open && !moved && !r.at.empty()) continue;
+      pending = true;
       if (!moved && now - r.sent < (r.at.empty() ? set.beat / 2 : set.budget)) continue;
       if (r.open) r.at.clear();  // what was let go since is owed anew: a new opening, no retry
       r.open = false;
@@ -375,15 +446,47 @@
   }
 }
 
+// Tells a link where to go: a ready forager of this locality, another's if there is none.
+auto forager::send_away(const downstream_ptr& d) -> void {
+  auto near = std::vector<std::string>(), far = near;
+  for (const auto& [n, s] : ses.known.all()) {
+    if (s.kind != "forager" || !s.ready || s.leaving || s.web.empty() || s.web == ses.me.web) continue;
+    (s.zone == set.zone ? near : far).push_back(s.web);
+  }
+  const auto& row = near.empty() ? far : near;
+  auto out = branch{{"op", "return"}, {"retry_ms", h.spread(set.beat * 2) / msec}};
+  if (!row.empty()) out["to"] = row[away_to++ % row.size()];
+  d->told = true;
+  say(d, out);
+}
+
+// Unready first; then the links are sent away a few at a time, those with nothing in flight
+// first, so that no answer is lost and no herd falls on the others.
 auto forager::leave(tick limit) -> task<void> {
   going = true;
   ses.me.ready = false;
   ses.me.leaving = true;
+  auto begun = h.now();
+  auto end = std::min(limit, begun + set.lose * 2);
+  auto span = (end - begun) / 2;
+  hive::log(grade::note, set.name, "leaving: " + std::to_string(links.size()) + " links are sent away");
+  before = seated;
+  away_to = h.below(64);
+  while (h.now() < end && !links.empty()) {
+    auto all = links;
+    auto left = std::count_if(all.begin(), all.end(), [](auto& l) { return !l.second->told; });
+    auto rest_of = std::max<tick>(begun + span - h.now(), 0);
+    auto steps = rest_of / (set.beat / 4) + 1;
+    auto some = (left + steps - 1) / steps;
+    for (auto& [id, d] : all) {
+      if (some <= 0) break;
+      if (d->told || (d->flying > 0 && rest_of > 0)) continue;
+      --some;
+      send_away(d);
+    }
+    co_await rest(h, set.beat / 4);
+  }
   auto all = links;
-  for (auto& [id, d] : all) say(d, branch{{"op", "return"}, {"retry_ms", h.spread(set.beat * 2) / msec}});
-  hive::log(grade::note, set.name, "leaving: " + std::to_string(all.size()) + " links told to return");
-  auto end = std::min(limit, h.now() + set.lose);
-  while (h.now() < end && std::any_of(links.begin(), links.end(), [](auto& l) { return l.second->flying > 0; })) co_await rest(h, set.beat / 4);
   for (auto& [id, d] : all) {
     d->over = true;
     d->io->end();
@@ -415,11 +518,11 @@
     } catch (const std::exception&) {
       throw verdict("malformed", "after wants a position");
     }
-    auto to = judge(act::read, r.query["name"], r.query["topic"], 0);
-    auto cell = home_of(to);
+    auto w = judge(act::read, r.query["name"], r.query["topic"], 0);
+    auto cell = cell_of(w.home, w.topic);
     auto addr = lead_of(cell);
     if (addr.empty()) throw verdict("away", "no primary of " + cell + " is in reach", ran::no, set.lose / msec);
-    auto q = tree(branch{{"op", "read"}, {"cell", cell}, {"t", to}, {"a", after}});
+    auto q = tree(branch{{"op", "read"}, {"cell", cell}, {"t", w.topic}, {"a", after}});
     auto out = co_await reach(addr).ask(std::move(q), h.now() + set.budget);
     co_return response{200, out, {}};
   }
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "forager/talk.hpp"
 #include "scout/session.hpp"
 #include "wax/http.hpp"
 
@@ -18,16 +19,18 @@
   auto leave(tick limit) -> task<void>;  // unready, links told to return
   auto reload(const config& c) -> void { set = c; }
   [[nodiscard]] auto ready() const -> bool;
+  // Serves one link from its first request to its last. A door spawns one for each link it takes.
+  auto attend(std::shared_ptr<talk> io) -> task<void>;
   session ses;
 
  private:
   struct downstream {
-    std::shared_ptr<lines> io;
+    std::shared_ptr<talk> io;
     std::string name;
     std::map<std::string, std::string> topics;  // as asked -> subscription
     std::uint64_t id = 0;
     int flying = 0;
-    bool over = false;
+    bool over = false, told = false;  // told: sent away, since this node is going down
   };
   using downstream_ptr = std::shared_ptr<downstream>;
   struct sub_row {
@@ -44,6 +47,9 @@
   auto line(downstream_ptr d, tree t) -> void;
   auto publish(downstream_ptr d, tree t) -> task<void>;
   auto send_publish(std::string who, std::string topic, std::int64_t seq, std::string body) -> task<tree>;
+  auto count_topic(downstream_ptr d, tree t) -> task<void>;
+  auto ask_lead(std::string cell, tree q, tick until) -> task<tree>;
+  auto send_away(const downstream_ptr& d) -> void;
   auto subscribe(const downstream_ptr& d, const tree& t) -> void;
   auto finish(const std::string& sid, bool tell) -> void;
   auto drop(const downstream_ptr& d) -> void;
@@ -53,8 +59,11 @@
   auto reach(const std::string& addr) -> colleague&;
   auto on_note(const std::string& addr, const tree& t) -> void;
   auto say(const downstream_ptr& d, const tree& t) -> void;
-  auto judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> std::string;  // the routed topic
-  [[nodiscard]] auto home_of(const std::string& topic) const -> std::string;  // its cell
+  struct way {  // where a topic leads by the newest charter
+    std::string topic;
+    space home;
+  };
+  auto judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> way;
   [[nodiscard]] auto lead_of(const std::string& cell) const -> std::string;   // the address of its primary
   auto fields(const tree& t, std::initializer_list<const char*> known) const -> void;
 
@@ -63,12 +72,12 @@
   std::map<std::string, std::unique_ptr<colleague>> mates;
   std::map<std::string, sub_row> subs;
   std::map<std::uint64_t, downstream_ptr> links;
-  std::uint64_t seated = 0;
+  std::uint64_t seated = 0, before = 0;  // before: the last one seated when this node began to leave
   std::string mark;  // sets this run's subscriptions apart from an earlier one's
   std::int64_t count = 0, judged = 0;
   std::uint64_t acked = 0, refused = 0, unclear = 0, delivered = 0;
-  bool going = false;
-  signal stir;
+  bool going = false, ever = false;
+  std::size_t away_to = 0;  // links sent away so far: spreads them over the others
   nest home;
 };
 
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -331,7 +331,7 @@
     auto combs = live_combs();
     auto use = loads();
     try {
-      for (const auto& [name, s] : law.law->spaces) {
+      for (const auto& [name, s] : law.law->pools) {
         for (auto k = std::int64_t{0}; k < s.cells; ++k) {
           auto id = name + "/" + std::to_string(k);
           if (auto it = law.cells.find(id); it != law.cells.end() && it->second.epoch > 0) continue;
@@ -353,8 +353,8 @@
       }
       auto dead = std::vector<std::string>();
       for (const auto& [id, c] : law.cells) {
-        auto s = law.law->spaces.find(id.substr(0, id.find('/')));
-        if (s != law.law->spaces.end() && s->second.keep_s == 0 && all_lost(c)) dead.push_back(id);
+        auto s = law.law->pools.find(id.substr(0, id.find('/')));
+        if (s != law.law->pools.end() && s->second.keep_ms == 0 && all_lost(c)) dead.push_back(id);
       }
       for (const auto& id : dead) co_await refound(id, false);
       auto open = std::vector<std::string>();
@@ -450,7 +450,7 @@
   for (const auto& [n, s] : known.all())
     if (s.kind == "comb" && !s.disk.empty() && !law.leavings.count(n)) zones.insert(s.zone);
   for (const auto& [n, s] : next->spaces) {
-    if (s.keep_s == 0 || zones.size() >= 2) continue;
+    if (s.keep_ms == 0 || zones.size() >= 2) continue;
     throw verdict("no_room", "space '" + n + "' is kept: that wants combs with disks in two localities, and " + std::to_string(zones.size()) + " has or have one now", ran::no, set.lose / msec);
   }
 }
@@ -479,7 +479,7 @@
   charters_ok(r.body);
   if (r.query["dry"] == "yes") {
     auto fresh = twigs();
-    for (const auto& [n, s] : next->spaces)
+    for (const auto& [n, s] : next->pools)
       for (auto k = std::int64_t{0}; k < s.cells; ++k)
         if (auto id = n + "/" + std::to_string(k); !law.cells.count(id)) fresh.emplace_back(id);
     co_return response{200, branch{{"dry", true}, {"number", next->number}, {"cells_to_place", fresh}}, {}};
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -58,13 +58,13 @@
   }
   if (next->number < now) throw verdict("stale", "number " + std::to_string(next->number) + " is below the newest, " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
   if (next->after >= 0 && next->after != now) throw verdict("stale", "it is meant to follow " + std::to_string(next->after) + ", the newest is " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
-  for (const auto& [name, s] : next->spaces) {
-    auto it = law ? law->spaces.find(name) : next->spaces.end();
+  for (const auto& [name, p] : next->pools) {
     auto had = cells.count(name + "/0") > 0;
     auto width = std::int64_t{0};
     while (cells.count(name + "/" + std::to_string(width))) ++width;
-    if (had && width != s.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(width) + " cells, which cannot change", ran::no, -1);
-    if (!had && law && it != law->spaces.end() && it->second.cells != s.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(it->second.cells) + " cells, which cannot change", ran::no, -1);
+    if (had && width != p.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(width) + " cells, which cannot change", ran::no, -1);
+    if (had || !law) continue;
+    if (auto it = law->pools.find(name); it != law->pools.end() && it->second.cells != p.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(it->second.cells) + " cells, which cannot change", ran::no, -1);
   }
   law = next;
   law_idx = idx;
@@ -97,8 +97,8 @@
   if (it == cells.end()) throw verdict("not_found", "no cell " + id);
   auto next = cell_row::from_tree(d);
   if (it->second.epoch != next.epoch) return branch{{"ok", false}, {"why", "another epoch stands"}, {"row", it->second.to_tree()}};
-  auto s = law ? law->spaces.find(id.substr(0, id.find('/'))) : std::map<std::string, space>::const_iterator();
-  auto kept = !law || s == law->spaces.end() || s->second.keep_s > 0;
+  auto p = law ? law->pools.find(id.substr(0, id.find('/'))) : std::map<std::string, pool>::const_iterator();
+  auto kept = !law || p == law->pools.end() || p->second.keep_ms > 0;
   if (kept && !yes(d, "forsake")) throw verdict("denied", id + " is of a kept space: founding it again forsakes what it kept");
   next.epoch = next.root = it->second.epoch + 1;
   next.idx = idx;
--- a/waggle/waggle.cpp
+++ b/waggle/waggle.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/property_tree/json_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
+#include <algorithm>
 #include <cctype>
+#include <functional>
 #include <set>
 #include <sstream>
 
@@ -13,6 +15,8 @@
 
 using boost::property_tree::ptree;
 
+constexpr auto spaces_most = std::size_t{20000};
+
 // Words of one rule, each with its column.
 struct word {
   std::string text;
@@ -149,6 +153,12 @@
     }
     return v.get_int64();
   }
+  auto word(const tree& t, const std::string& place, const std::string& key, const std::string& other) -> std::string {
+    const auto& v = sub(t, key);
+    if (v.is_string()) return std::string(v.get_string());
+    if (t.as_object().contains(key)) bad(place + key, "wants a string");
+    return other;
+  }
 };
 
 auto good_name(const std::string& s) -> bool {
@@ -176,15 +186,20 @@
   }
   if (r.faults.empty() && !t.is_object()) r.bad("charter", "is no JSON object");
   if (r.faults.empty()) {
-    r.keys(p, "", {"number", "after", "spaces", "rules"});
+    r.keys(p, "", {"number", "after", "spaces", "rules", "subscriptions", "origin"});
     out->number = r.whole(t, "", "number", 1, 1LL << 52, 0, true);
     out->after = r.whole(t, "", "after", 0, 1LL << 52, -1, false);
+    out->subscriptions = r.whole(t, "", "subscriptions", 1, 1000000, 1000, false);
+    if (const auto& o = sub(t, "origin"); o.is_string()) out->origin = o.get_string();
+    else if (t.as_object().contains("origin")) r.bad("origin", "wants a string");
     if (!sub(t, "spaces").is_array()) {
       r.bad("spaces", "wants a list of spaces");
     } else {
       auto pt = p.get_child("spaces");
       auto pi = pt.begin();
       auto i = 0;
+      auto heads = std::set<std::string>();
+      auto widths = std::map<std::string, std::int64_t>();
       for (const auto& s : list(t, "spaces")) {
         auto place = "spaces[" + std::to_string(i++) + "].";
         const auto& ps = (pi++)->second;
@@ -192,18 +207,32 @@
           r.bad(place, "is no space");
           continue;
         }
-        r.keys(ps, place, {"name", "keep_s", "urgency", "cells"});
+        r.keys(ps, place, {"name", "prefix", "pool", "keep_s", "keep_ms", "urgency", "cells", "order", "timeout_ms", "aim_ms"});
         auto one = space();
         if (!sub(s, "name").is_string()) r.bad(place + "name", "wants a string");
         else one.name = str(s, "name");
         if (sub(s, "name").is_string() && !good_name(one.name)) r.bad(place + "name", "wants 1 to 64 letters, digits, '-', '_', '.'");
-        one.keep_s = r.whole(s, place, "keep_s", 0, 7 * 86400, 0, true);
+        one.prefix = r.word(s, place, "prefix", one.name + "/");
+        if (!good_topic(one.prefix)) r.bad(place + "prefix", "wants 1 to 200 printable characters without a space");
+        one.pool = r.word(s, place, "pool", one.name);
+        if (!good_name(one.pool)) r.bad(place + "pool", "wants 1 to 64 letters, digits, '-', '_', '.'");
+        auto fine = s.get_object().contains("keep_ms");  // one of the two, not both
+        if (fine && s.get_object().contains("keep_s")) r.bad(place + "keep_ms", "stands beside keep_s");
+        one.keep_ms = fine ? r.whole(s, place, "keep_ms", 0, 7 * 86400000LL, 0, true) : r.whole(s, place, "keep_s", 0, 7 * 86400, 0, true) * 1000;
         one.urgency = r.whole(s, place, "urgency", 0, 9, 0, false);
         one.cells = r.whole(s, place, "cells", 1, 64, 4, false);
+        one.timeout_ms = r.whole(s, place, "timeout_ms", 0, 86400000, 0, false);
+        one.aim_ms = r.whole(s, place, "aim_ms", 0, 86400000, 0, false);
+        auto order = r.word(s, place, "order", "topic");
+        if (order != "topic" && order != "sender") r.bad(place + "order", "'" + order + "' is neither topic nor sender");
+        one.by_topic = order != "sender";
         if (!out->spaces.emplace(one.name, one).second) r.bad(place + "name", "'" + one.name + "' is the name of two spaces");
+        if (!heads.insert(one.prefix).second) r.bad(place + "prefix", "'" + one.prefix + "' is the prefix of two spaces");
+        if (auto w = widths.emplace(one.pool, one.cells); w.first->second != one.cells) r.bad(place + "cells", "pool '" + one.pool + "' has " + std::to_string(w.first->second) + " in another space");
       }
-      if (list(t, "spaces").size() > 64) r.bad("spaces", "more than 64");
+      if (list(t, "spaces").size() > spaces_most) r.bad("spaces", "more than " + std::to_string(spaces_most));
     }
+    out->index();
     auto lines = std::vector<std::string>();
     if (const auto& rules = sub(t, "rules"); rules.is_null() && !t.as_object().contains("rules")) {
       lines.push_back("allow all on *");
@@ -227,8 +256,8 @@
     }
     for (const auto& s : out->rules) {
       if (s.what != step::kind::route) continue;
-      auto head = s.more.substr(0, s.more.find('/'));
-      if (!out->spaces.count(head)) r.bad("rules", "route to '" + s.more + "': no space '" + head + "'");
+      auto stem = s.more.substr(0, s.more.find('*'));
+      if (!out->space_of(stem)) r.bad("rules", "route to '" + s.more + "': no space '" + stem.substr(0, stem.find('/')) + "'");
     }
   }
   if (!r.faults.empty()) {
@@ -289,17 +318,31 @@
   return out;
 }
 
-auto charter::space_of(const std::string& topic) const -> const space* {
-  auto it = spaces.find(topic.substr(0, topic.find('/')));
-  return it == spaces.end() ? nullptr : &it->second;
+auto charter::index() -> void {
+  pools.clear();
+  prefixes.clear();
+  auto seen = std::set<std::size_t, std::greater<>>();
+  for (const auto& [name, s] : spaces) {
+    auto& p = pools[s.pool];
+    p.cells = s.cells;
+    p.keep_ms = std::max(p.keep_ms, s.keep_ms);
+    p.urgency = std::max(p.urgency, s.urgency);
+    prefixes[s.prefix] = name;
+    seen.insert(s.prefix.size());
+  }
+  lengths.assign(seen.begin(), seen.end());
+}
+
+auto charter::space_of(std::string_view topic) const -> const space* {
+  for (auto n : lengths) {
+    if (n > topic.size()) continue;
+    if (auto it = prefixes.find(topic.substr(0, n)); it != prefixes.end()) return &spaces.at(it->second);
+  }
+  return nullptr;
 }
 
 auto good_topic(const std::string& t) -> bool {
-  auto at = t.find('/');
-  if (at == std::string::npos || at == 0 || at + 1 >= t.size() || t.size() > 200) return false;
-  for (auto c : t)
-    if (!std::isalnum(static_cast<unsigned char>(c)) && !strchr("-_./:", c)) return false;
-  return true;
+  return !t.empty() && t.size() <= 200 && std::all_of(t.begin(), t.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
 
 auto hash64(const std::string& s) -> std::uint64_t {
@@ -310,7 +353,7 @@
 }
 
 auto cell_of(const space& s, const std::string& topic) -> std::string {
-  return s.name + "/" + std::to_string((hash64(topic) >> 16) % static_cast<std::uint64_t>(s.cells));
+  return s.pool + "/" + std::to_string((hash64(topic) >> 16) % static_cast<std::uint64_t>(s.cells));
 }
 
 }  // namespace hive
--- a/waggle/waggle_test.cpp
+++ b/waggle/waggle_test.cpp
@@ -44,3 +44,37 @@
   STRCMP_CONTAINS("no space 'c'", faults_of(R"({"number":1,"spaces":[],"rules":["route a/* to c/*"]})").c_str());
   STRCMP_CONTAINS("line 1", faults_of("{").c_str());
 }
+
+TEST_GROUP(waggle_spaces){};
+TEST(waggle_spaces, the_longest_prefix_holds_a_topic) {
+  auto c = hive::compile(R"({"number":1,"spaces":[{"name":"a","prefix":"kafi810.","pool":"kept","keep_ms":35000,"cells":8},
+      {"name":"b","prefix":"kafi810.2","pool":"live","keep_ms":0,"cells":2},{"name":"c","prefix":"k","pool":"kept","keep_ms":1500,"cells":8,"urgency":3},
+      {"name":"d","keep_s":2}]})");
+  STRCMP_EQUAL("a", c->space_of("kafi810.1f")->name.c_str());
+  STRCMP_EQUAL("b", c->space_of("kafi810.2f")->name.c_str());
+  STRCMP_EQUAL("b", c->space_of("kafi810.2")->name.c_str());
+  STRCMP_EQUAL("c", c->space_of("kafi810")->name.c_str());
+  STRCMP_EQUAL("d", c->space_of("d/x")->name.c_str());
+  CHECK(c->space_of("d") == nullptr);
+  CHECK(c->space_of("") == nullptr);
+  LONGS_EQUAL(8, c->pools.at("kept").cells);
+  LONGS_EQUAL(35000, c->pools.at("kept").keep_ms);
+  LONGS_EQUAL(3, c->pools.at("kept").urgency);
+  LONGS_EQUAL(0, c->pools.at("live").keep_ms);
+  // A topic of one pool stays in its cell whichever space of it holds the topic.
+  STRCMP_EQUAL(hive::cell_of(c->spaces.at("a"), "kafi810.1f").c_str(), hive::cell_of(c->spaces.at("c"), "kafi810.1f").c_str());
+}
+TEST(waggle_spaces, faults_of_spaces_are_named) {
+  auto with = [](const std::string& more) { return faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":1},)" + more + "]}"); };
+  STRCMP_EQUAL("none", with(R"({"name":"b","keep_s":1})").c_str());
+  STRCMP_CONTAINS("spaces[1].prefix: 'a/' is the prefix of two", with(R"({"name":"b","keep_s":1,"prefix":"a/"})").c_str());
+  STRCMP_CONTAINS("spaces[1].prefix: wants 1 to 200", with(R"({"name":"b","keep_s":1,"prefix":"a b"})").c_str());
+  STRCMP_CONTAINS("spaces[1].prefix: wants a string", with(R"({"name":"b","keep_s":1,"prefix":3})").c_str());
+  STRCMP_CONTAINS("spaces[1].cells: pool 'a' has 4", with(R"({"name":"b","keep_s":1,"pool":"a","cells":3})").c_str());
+  STRCMP_CONTAINS("spaces[1].keep_ms: stands beside", with(R"({"name":"b","keep_s":1,"keep_ms":3})").c_str());
+  STRCMP_CONTAINS("spaces[1].keep_s: is missing", with(R"({"name":"b"})").c_str());
+  STRCMP_CONTAINS("spaces[1].order: 'odd'", with(R"({"name":"b","keep_s":1,"order":"odd"})").c_str());
+  STRCMP_CONTAINS("spaces[1].timeout_ms: -1 is outside", with(R"({"name":"b","keep_s":1,"timeout_ms":-1})").c_str());
+  STRCMP_CONTAINS("origin: wants a string", faults_of(R"({"number":1,"spaces":[],"origin":1})").c_str());
+  STRCMP_CONTAINS("subscriptions: 0 is outside", faults_of(R"({"number":1,"spaces":[],"subscriptions":0})").c_str());
+}
