The product's programs start on the users' platform: skep, its settings, the deploy file

Cause: the platform starts one program a role, hands it a TOML file and judges its end; the product knew only flags and its own file.

--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -30,11 +30,13 @@
   std::snprintf(buf, sizeof buf, "%08llx", static_cast<unsigned long long>(h.chance() >> 32));
   mark = buf;
   ses.me.kind = "forager";
-  auto p = pages();
-  p.page = [this](request r) { return page(std::move(r)); };
-  p.stream = [this](request r, std::shared_ptr<lines> io) { return stream(std::move(r), std::move(io)); };
-  p.body_most = static_cast<std::size_t>(set.body) * 2 + 4096;
-  if (!c.web.empty()) home.spawn(serve_web(h, home, h.listen(c.web), p));
+  if (!c.web.empty()) {
+    auto p = pages();
+    p.page = [this](request r) { return page(std::move(r)); };
+    p.stream = [this](request r, std::shared_ptr<lines> io) { return stream(std::move(r), std::move(io)); };
+    p.body_most = static_cast<std::size_t>(set.body) * 2 + 4096;
+    home.spawn(serve_web(h, home, h.listen(c.web), p));
+  }
   home.spawn(tender());
   home.spawn(beats());
 }
@@ -467,7 +469,7 @@
   ses.me.ready = false;
   ses.me.leaving = true;
   auto begun = h.now();
-  auto end = std::min(limit, begun + set.lose * 2);
+  auto end = std::min(limit, begun + set.drain);
   auto span = (end - begun) / 2;
   hive::log(grade::note, set.name, "leaving: " + std::to_string(links.size()) + " links are sent away");
   before = seated;
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -427,7 +427,7 @@
   co_return branch{{"ok", true}};
 }
 
-// A blank disk: founds the ledger if all three seeds are blank, else re-enters.
+// A blank disk: founds the ledger if it may and all seeds are blank, else re-enters.
 auto ledger::found() -> task<void> {
   auto seen = std::vector<voter>();
   auto blank = true;
@@ -450,7 +450,7 @@
     }
   }
   auto seed = std::find(set.seeds.begin(), set.seeds.end(), me.addr) != set.seeds.end();
-  if (!founded && blank && seed && seen.size() == 3) {
+  if (!founded && set.found && blank && seed && seen.size() == set.seeds.size()) {
     base_panel = seen;
     founded = true;
     seat();
--- a/queen/main.cpp
+++ b/queen/main.cpp
@@ -3,5 +3,5 @@
 #include "queen/queen.hpp"
 
 auto main(int argc, const char** argv) -> int {
-  return hive::run_daemon<hive::queen>(argc, argv, "a control node of reachridge", hive::needs{true, true, false, true, true}, 4 * hive::sec);
+  return hive::run_daemon<hive::queen>(hive::command_line(argc, argv, "a control node of reachridge", hive::needs{true, true, false, true, true}));
 }
--- a/wax/config.cpp
+++ b/wax/config.cpp
@@ -78,14 +78,14 @@
          c.data = s;
          return {};
        }},
-      {"seeds", "three IP:PORT of queens, with commas between",
+      {"seeds", "one to three IP:PORT of queens, with commas between",
        [](config& c, const std::string& s) -> std::string {
          auto row = std::vector<std::string>();
          boost::split(row, s, boost::is_any_of(","));
-         if (row.size() != 3) return "wants three addresses, has " + std::to_string(row.size());
+         if (s.empty() || row.size() > 3) return "wants one to three addresses, has " + std::to_string(s.empty() ? 0 : row.size());
          for (const auto& a : row)
            if (!good_addr(a)) return "'" + a + "' is no IP:PORT";
-         if (std::set<std::string>(row.begin(), row.end()).size() != 3) return "repeats an address";
+         if (std::set<std::string>(row.begin(), row.end()).size() != row.size()) return "repeats an address";
          c.seeds = row;
          return {};
        }},
@@ -101,6 +101,11 @@
       {"buffer_bytes", "most bytes of one log buffer or slow reader",
        span(&config::buffer, 4096, 1 << 28, 1)},
       {"links_most", "most downstream links", span(&config::links, 1, 100000, 1)},
+      {"drain_ms", "what a leaving forager leaves its links to end what is under way", span(&config::drain, 0, 60000, msec)},
+      {"grace_ms", "from SIGTERM to the process's end, at most", span(&config::grace, 100, 600000, msec)},
+      {"presence_ms", "a count of subscribers is at most so old", span(&config::presence, 100, 600000, msec)},
+      {"keepalive_ms", "a downstream silent for three times as long may be let go", span(&config::keepalive, 100, 600000, msec)},
+      {"found", "a blank disk may begin a new ledger: yes or no", flag(&config::found)},
       {"slowing", "gradual slowing of a primary whose backup lags: yes or no",
        flag(&config::slowing)},
       {"drag_us", "replay time added to each entry, to try a slow backup", span(&config::drag, 0, 1000000, 1)},
@@ -158,11 +163,28 @@
   need(n.data, c.data, "data");
   need(true, c.seeds.empty() ? "" : "x", "seeds");
   if (c.beat * 4 > c.lose) faults.push_back({"beat_ms", "must be at most a quarter of lose_ms"});
+  if (c.drain > c.grace) faults.push_back({"drain_ms", "must be at most grace_ms"});
   return c;
 }
 
-auto open_main(int argc, const char** argv, const std::string& about, const needs& n) -> start {
-  auto out = start();
+auto fixed_faults(const config& set, const config& next, bool seeds_drift) -> std::vector<fault> {
+  auto out = std::vector<fault>();
+  auto fixed = [&](const char* k, const auto& a, const auto& b) {
+    if (a != b) out.push_back({k, "cannot change while running"});
+  };
+  fixed("name", next.name, set.name);
+  fixed("addr", next.addr, set.addr);
+  fixed("web", next.web, set.web);
+  fixed("feed", next.feed, set.feed);
+  fixed("data", next.data, set.data);
+  fixed("zone", next.zone, set.zone);
+  if (!seeds_drift) fixed("seeds", next.seeds, set.seeds);
+  return out;
+}
+
+auto command_line(int argc, const char** argv, const std::string& about, const needs& n) -> origin {
+  auto file = std::string();
+  auto flags = std::map<std::string, std::string>();
   auto opts = std::vector<poptOption>();
   auto vals = std::vector<char*>(keys().size() + 1, nullptr);
   opts.push_back({"config", 'c', POPT_ARG_STRING, &vals[0], 0, "settings file", "FILE"});
@@ -173,22 +195,21 @@
   using context = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>;
   auto ctx = context(poptGetContext(nullptr, argc, argv, opts.data(), 0), &poptFreeContext);
   poptSetOtherOptionHelp(ctx.get(), ("- " + about).c_str());
-  auto faults = std::vector<fault>();
+  auto wrong = std::vector<fault>();
   if (auto r = poptGetNextOpt(ctx.get()); r < -1)
-    faults.push_back({poptBadOption(ctx.get(), 0), poptStrerror(r)});
-  if (const auto* left = poptGetArg(ctx.get())) faults.push_back({left, "is no flag"});
+    wrong.push_back({poptBadOption(ctx.get(), 0), poptStrerror(r)});
+  if (const auto* left = poptGetArg(ctx.get())) wrong.push_back({left, "is no flag"});
   for (auto i = 0U; i < vals.size(); ++i) {
     if (!vals[i]) continue;
-    if (i == 0) out.file = vals[0];
-    else out.flags[keys()[i - 1].name] = vals[i];
+    if (i == 0) file = vals[0];
+    else flags[keys()[i - 1].name] = vals[i];
     free(vals[i]);
   }
-  out.set = read_config(out.file, out.flags, n, faults);
-  if (!faults.empty()) {
-    for (const auto& f : faults) std::cerr << f.key << ": " << f.why << '\n';
-    std::exit(2);
-  }
-  return out;
+  auto read = [=](std::vector<fault>& faults) {
+    faults.insert(faults.end(), wrong.begin(), wrong.end());
+    return read_config(file, flags, n, faults);
+  };
+  return {read, file};
 }
 
 }  // namespace hive
--- a/wax/main.hpp
+++ b/wax/main.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <sys/stat.h>
 
+#include <functional>
 #include <iostream>
 
 #include "wax/config.hpp"
@@ -11,60 +12,67 @@
 
 namespace hive {
 
+// A mark of a file's state: another one means that it was written or replaced. Empty: not there.
+inline auto file_mark(const std::string& file) -> std::string {
+  auto st = (struct stat){};
+  if (file.empty() || ::stat(file.c_str(), &st) != 0) return {};
+  return std::to_string(st.st_mtim.tv_sec) + "." + std::to_string(st.st_mtim.tv_nsec) + "." + std::to_string(st.st_size) + "." + std::to_string(st.st_ino);
+}
+
+// `doors`, if given, is called once the daemon stands; what it spawns ends before the daemon.
 template <class D>
-auto run_daemon(int argc, const char** argv, const std::string& about, const needs& n, tick grace) -> int {
-  auto s = open_main(argc, argv, about, n);
-  if (!s.set.data.empty()) ::mkdir(s.set.data.c_str(), 0755);
-  ring_setup(4000, s.set.data, s.set.echo);
+auto run_daemon(const origin& from, std::function<void(evhost&, nest&, D&)> doors = {}) -> int {
+  auto found = std::vector<fault>();
+  auto set = from.read(found);
+  for (const auto& f : found) std::cerr << f.key << ": " << f.why << '\n';
+  if (!found.empty()) return 2;
+  if (!set.data.empty()) ::mkdir(set.data.c_str(), 0755);
+  ring_setup(4000, set.data, set.echo);
   try {
-    auto h = evhost(s.set.data);
-    auto d = D(h, s.set);
+    auto h = evhost(set.data);
+    auto d = D(h, set);
     auto home = nest(h);
-    auto stamp = [&]() -> std::string {
-      auto st = (struct stat){};
-      if (s.file.empty() || ::stat(s.file.c_str(), &st) != 0) return {};
-      return std::to_string(st.st_mtim.tv_sec) + "." + std::to_string(st.st_mtim.tv_nsec) + "." + std::to_string(st.st_size);
+    home.on_fault = [&](std::exception_ptr e) {
+      try {
+        std::rethrow_exception(e);
+      } catch (const std::exception& x) {
+        log(grade::grave, set.name, std::string("task ended: ") + x.what());
+      }
     };
+    if (doors) doors(h, home, d);
     auto reload = [&] {
       auto faults = std::vector<fault>();
-      auto next = read_config(s.file, s.flags, n, faults);
-      auto fixed = [&](const char* k, const auto& a, const auto& b) {
-        if (a != b) faults.push_back({k, "cannot change while running"});
-      };
-      fixed("name", next.name, s.set.name);
-      fixed("addr", next.addr, s.set.addr);
-      fixed("web", next.web, s.set.web);
-      fixed("feed", next.feed, s.set.feed);
-      fixed("data", next.data, s.set.data);
-      fixed("zone", next.zone, s.set.zone);
-      fixed("seeds", next.seeds, s.set.seeds);
-      for (const auto& f : faults) log(grade::warn, s.set.name, "settings not taken: " + f.key + ": " + f.why);
+      auto next = from.read(faults);
+      if (faults.empty()) faults = fixed_faults(set, next, from.seeds_drift);
+      for (const auto& f : faults) log(grade::warn, set.name, "settings not taken: " + f.key + ": " + f.why);
       if (!faults.empty()) return;
-      s.set = next;
+      next.seeds = set.seeds;
+      set = next;
       d.reload(next);
-      log(grade::note, s.set.name, "settings taken");
+      log(grade::note, set.name, "settings taken");
     };
     h.on_hup = reload;
     auto going = false;
     h.on_term = [&] {
       if (going) return h.end();
       going = true;
-      home.spawn([](host& hh, D& dd, evhost& e, tick g) -> task<void> {
-        co_await dd.leave(hh.now() + g);
+      home.spawn([](evhost& hh, D& dd, tick limit) -> task<void> {
+        co_await dd.leave(limit);
         co_await rest(hh, 50 * msec);
-        e.end();
-      }(h, d, h, grace));
+        hh.end();
+      }(h, d, h.now() + set.grace));
     };
-    home.spawn([](host& hh, decltype(stamp) st, decltype(reload) re) -> task<void> {
-      auto was = st();
-      while (true) {
-        co_await rest(hh, sec);
-        auto now = st();
-        if (now != was && !now.empty()) re();
-        was = now;
-      }
-    }(h, stamp, reload));
-    log(grade::note, s.set.name, "started");
+    if (!from.file.empty())
+      home.spawn([](host& hh, std::string file, std::function<void()> re) -> task<void> {
+        auto was = file_mark(file);
+        while (true) {
+          co_await rest(hh, sec);
+          auto now = file_mark(file);
+          if (now != was && !now.empty()) re();
+          was = now;
+        }
+      }(h, from.file, reload));
+    log(grade::note, set.name, "started");
     h.run();
     return 0;
   } catch (const verdict& v) {
