--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -4,10 +4,10 @@
 
 namespace hive {
 
-platform::platform(host& hh, std::vector<std::string> webs) : h(hh), home(hh) {
+balancer::balancer(host& hh, std::vector<std::string> webs) : h(hh), home(hh) {
   for (auto& w : webs) home.spawn(poll(w));
 }
-auto platform::poll(std::string web) -> task<void> {
+auto balancer::poll(std::string web) -> task<void> {
   while (true) {
     auto r = co_await fetch(h, web, "GET", "/readyz", "", h.now() + sec);
     if (r.code == 200) ready.insert(web);
@@ -15,12 +15,12 @@
     co_await rest(h, 400 * msec);
   }
 }
-auto platform::draw() -> std::string {
+auto balancer::draw() -> std::string {
   if (ready.empty()) return {};
   return *std::next(ready.begin(), static_cast<std::ptrdiff_t>(h.below(ready.size())));
 }
 
-caller::caller(host& hh, platform& p, history& l, plan w) : h(hh), fleet(p), log(l), what(std::move(w)), home(hh) {
+caller::caller(host& hh, balancer& p, history& l, plan w) : h(hh), fleet(p), log(l), what(std::move(w)), home(hh) {
   for (auto& t : what.hear) pos[t] = -1;
   home.spawn(live());
   if (!what.tell.empty()) home.spawn(talk());
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -23,9 +23,9 @@
 };
 
 // Spreads new connections over the foragers that say they are ready.
-class platform {
+class balancer {
  public:
-  platform(host& h, std::vector<std::string> webs);
+  balancer(host& h, std::vector<std::string> webs);
   auto watch(const std::string& web) -> void { home.spawn(poll(web)); }  // a machine added
   auto draw() -> std::string;  // empty: none is ready
   std::set<std::string> ready;
@@ -47,7 +47,7 @@
     tick echo = 0;         // accepted publishes are sent again after up to so long
     tick until = never;    // publishes stop then
   };
-  caller(host& h, platform& p, history& log, plan what);
+  caller(host& h, balancer& p, history& log, plan what);
   auto reset() -> void;  // its connection is reset
   auto jump() -> void { hop = true; }  // comes back elsewhere while its old link stays half open
   auto hush() -> void { what.until = 0; }  // new publishes stop; open ones are seen through
@@ -68,7 +68,7 @@
   auto take(const tree& t) -> void;
   auto shoot(flight& f) -> void;
   host& h;
-  platform& fleet;
+  balancer& fleet;
   history& log;
   plan what;
   std::shared_ptr<lines> io;
--- a/meadow/main.cpp
+++ b/meadow/main.cpp
@@ -110,7 +110,7 @@
   // The whole run; true if no promise was broken.
   auto run(int seconds, bool faults, bool stay, bool whole_day) -> task<bool> {
     for (auto& c : all) c->start(folder);
-    spread = std::make_unique<platform>(h, webs);
+    spread = std::make_unique<balancer>(h, webs);
     boss = std::make_unique<keeper>(h, queens, webs, log);
     for (auto& s : {form.fast, form.slow}) log.note(h, branch{{"e", "space"}, {"name", s}, {"keep_s", 35}});
     auto body = probe_charter(1, spaces());
@@ -395,7 +395,7 @@
   history log;
   std::vector<std::unique_ptr<child>> all;
   std::vector<std::string> queens, webs;
-  std::unique_ptr<platform> spread;
+  std::unique_ptr<balancer> spread;
   std::unique_ptr<keeper> boss;
   std::vector<std::unique_ptr<caller>> callers;
   std::vector<event> events;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -443,16 +443,17 @@
   return false;
 }
 
-// Checks that need the fleet: a kept space wants two localities of disks.
-auto queen::charters_ok(const std::string& body) const -> void {
-  auto next = compile(body);
+// What the fleet as it is now cannot give yet. No refusal: a charter holds whatever combs are there, and
+// cells are founded once there is room for them.
+auto queen::lacking(const charter& next) const -> std::string {
   auto zones = std::set<std::string>();
   for (const auto& [n, s] : known.all())
     if (s.kind == "comb" && !s.disk.empty() && !law.leavings.count(n)) zones.insert(s.zone);
-  for (const auto& [n, s] : next->spaces) {
+  for (const auto& [n, s] : next.spaces) {
     if (s.keep_ms == 0 || zones.size() >= 2) continue;
-    throw verdict("no_room", "space '" + n + "' is kept: that wants combs with disks in two localities, and " + std::to_string(zones.size()) + " has or have one now", ran::no, set.lose / msec);
+    return "space '" + n + "' is kept: that wants combs with disks in two localities, and " + std::to_string(zones.size()) + " has or have one now";
   }
+  return {};
 }
 
 auto queen::page_charter(request r) -> task<response> {
@@ -476,17 +477,20 @@
   }
   if (r.verb != "PUT" && r.verb != "POST") throw verdict("malformed", "charter takes GET and PUT");
   auto next = compile(r.body);
-  charters_ok(r.body);
+  auto warn = lacking(*next);
   if (r.query["dry"] == "yes") {
     auto fresh = twigs();
     for (const auto& [n, s] : next->pools)
       for (auto k = std::int64_t{0}; k < s.cells; ++k)
         if (auto id = n + "/" + std::to_string(k); !law.cells.count(id)) fresh.emplace_back(id);
-    co_return response{200, branch{{"dry", true}, {"number", next->number}, {"cells_to_place", fresh}}, {}};
+    auto plan = branch{{"dry", true}, {"number", next->number}, {"cells_to_place", fresh}};
+    if (!warn.empty()) plan["warn"] = warn;
+    co_return response{200, plan, {}};
   }
   auto d = tree(branch{{"k", "charter"}, {"body", r.body}});
   auto out = co_await deed(std::move(d));
   if (!yes(out, "ok")) throw verdict::from_tree(out);
+  if (!warn.empty()) out.as_object()["warn"] = warn;
   co_return response{200, out, {}};
 }
 
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -47,7 +47,7 @@
   auto place() -> task<void>;
   auto refresh() -> void;  // the ledger moved: bring the view up to it
   [[nodiscard]] auto sure() const -> bool;
-  auto charters_ok(const std::string& body) const -> void;
+  [[nodiscard]] auto lacking(const charter& next) const -> std::string;
   [[nodiscard]] auto live_combs() const -> std::map<std::string, seat>;
   [[nodiscard]] auto all_lost(const cell_row& c) const -> bool;
   auto refound(std::string id, bool forsake) -> task<tree>;
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -328,7 +328,7 @@
 
 auto fleet::begin() -> bool {
   for (auto& [n, p] : all) start(n);
-  spread = std::make_unique<platform>(*outside, webs);
+  spread = std::make_unique<balancer>(*outside, webs);
   boss = std::make_unique<keeper>(*outside, queen_webs, webs, log);
   auto spaces = boost::json::parse("[" + form.spaces() + "]");
   for (const auto& s : spaces.as_array()) log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -82,7 +82,7 @@
   history log;
   std::map<std::string, std::unique_ptr<process>> all;
   std::unique_ptr<sim_host> outside;
-  std::unique_ptr<platform> spread;
+  std::unique_ptr<balancer> spread;
   std::vector<std::unique_ptr<caller>> callers;
   std::unique_ptr<keeper> boss;
   std::unique_ptr<nest> desk;
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -119,7 +119,7 @@
 
 auto answer(link& l, const response& r, bool keep) -> void {
   auto m = http::response<http::string_body>(static_cast<http::status>(r.code), 11);
-  m.set(http::field::content_type, r.plain.empty() ? "application/json" : "text/plain");
+  m.set(http::field::content_type, r.plain.empty() ? "application/json" : r.media);
   if (auto back = num_or(r.body, "retry_ms", -1); back >= 0)
     m.set(http::field::retry_after, std::to_string((back + 999) / 1000));
   m.body() = r.plain.empty() ? text(r.body) + "\n" : r.plain;
--- a/wax/http.hpp
+++ b/wax/http.hpp
@@ -18,7 +18,8 @@
 struct response {
   int code = 200;
   tree body;
-  std::string plain;  // sent as text in place of the body, if not empty
+  std::string plain;  // sent as it is in place of the body, if not empty
+  std::string media = "text/plain";  // what `plain` is
 };
 
 // Chunked JSON lines both ways on one long link.
