--- a/wax/main.hpp
+++ b/wax/main.hpp
@@ -22,10 +22,11 @@
 // `doors`, if given, is called once the daemon stands; what it spawns ends before the daemon.
 template <class D>
 auto run_daemon(const origin& from, std::function<void(evhost&, nest&, D&)> doors = {}) -> int {
-  auto found = std::vector<fault>();
-  auto set = from.read(found);
-  for (const auto& f : found) std::cerr << f.key << ": " << f.why << '\n';
-  if (!found.empty()) return 2;
+  auto first = file_mark(from.file);  // before it is read: what is written meanwhile counts as a change
+  auto wrong = std::vector<fault>();
+  auto set = from.read(wrong);
+  for (const auto& f : wrong) std::cerr << f.key << ": " << f.why << '\n';
+  if (!wrong.empty()) return 2;
   if (!set.data.empty()) ::mkdir(set.data.c_str(), 0755);
   ring_setup(4000, set.data, set.echo);
   try {
@@ -56,22 +57,22 @@
     h.on_term = [&] {
       if (going) return h.end();
       going = true;
-      home.spawn([](evhost& hh, D& dd, tick limit) -> task<void> {
-        co_await dd.leave(limit);
-        co_await rest(hh, 50 * msec);
+      home.spawn([](evhost& hh, D& dd, tick grace) -> task<void> {
+        auto last = grace / 50;  // in which what is queued goes out
+        co_await dd.leave(hh.now() + grace - last);
+        co_await rest(hh, last);
         hh.end();
-      }(h, d, h.now() + set.grace));
+      }(h, d, set.grace));
     };
     if (!from.file.empty())
-      home.spawn([](host& hh, std::string file, std::function<void()> re) -> task<void> {
-        auto was = file_mark(file);
+      home.spawn([](host& hh, std::string file, std::string was, std::function<void()> re) -> task<void> {
         while (true) {
           co_await rest(hh, sec);
           auto now = file_mark(file);
           if (now != was && !now.empty()) re();
           was = now;
         }
-      }(h, from.file, reload));
+      }(h, from.file, first, reload));
     log(grade::note, set.name, "started");
     h.run();
     return 0;
--- a/wax/ring.cpp
+++ b/wax/ring.cpp
@@ -45,7 +45,7 @@
     auto& r = ring();
     r.rows.push_back(row);
     while (r.rows.size() > r.most) r.rows.pop_front();
-    if (r.echo) std::cerr << row << '\n';
+    if (r.echo) std::cerr << row + '\n';  // one write a line
   }
 };
 
