Whole zones are evacuated; retirements leave enough behind; both at the operator's door

Cause: the platform's operator evacuates zones and retires machines (POST and DELETE /evacuation/ZONE, POST and GET /retire/NODE); the product knew leavings of single combs only, and took a retirement that left too few combs.

Change: a zone stands among the leavings as zone:ZONE until it is taken back, in captures and pulls as they are. Its combs hand their cells over and are given none; only where all others stand in one locality, and for a pair without a second copy, they are drawn too. Its foragers serve on (`serves`) but are not `ready` while a forager elsewhere is. `leave` and `stay` take a zone, also in apiary; a retirement states who would remain, and is refused (`too_few`) by the queen asked and again where it is applied, since two may be under way. A retired node that was told done is given nothing by a move that began before. `fleet::behind` asks for `serves`, its meaning until now.

Tests: of the realm, of the door on a simulated fleet, the scenario zone-evacuation (leader killed around the order, a primary killed, all power lost). Taken away one at a time, the hand-over, the draw and the founding at need, the guard for retired nodes, the repeat below the held revision, and the foragers' readiness each fail a test.

--- a/apiary/main.cpp
+++ b/apiary/main.cpp
@@ -9,6 +9,7 @@
 #include "waggle/waggle.hpp"
 #include "wax/config.hpp"
 #include "wax/evhost.hpp"
+#include "queen/realm.hpp"
 #include "wax/http.hpp"
 
 namespace hive {
@@ -18,7 +19,7 @@
 
 struct call {
   std::vector<std::string> at, words;
-  std::string kind = "drain";
+  std::string kind = "drain", zone;
   int wait = 0;
   bool json = false, dry = false;
 };
@@ -29,7 +30,9 @@
   charter             read the newest accepted charter
   held N              has charter N taken hold? (--wait S: until it has)
   leave NAME          empty a comb: --kind drain, evacuate or retire (--wait S: until done)
+  leave --zone ZONE   evacuate a whole zone: combs hand their cells over, new links go elsewhere
   stay NAME           take a leaving back, unless it is a done retirement
+  stay --zone ZONE    end the evacuation of a zone
   refound CELL        begin a cell anew whose every copy is lost; what it kept is forsaken
   leavings            who leaves, what is left there
   members             who has a session, and at which queen
@@ -56,6 +59,7 @@
     const auto& w = job.words;
     auto cmd = w[0];
     auto arg = w.size() > 1 ? w[1] : "";
+    auto whom = job.zone.empty() ? branch{{"name", arg}} : branch{{"zone", job.zone}};
     if (cmd == "put") co_return co_await show("PUT", std::string("/v1/charter") + (job.dry ? "?dry=yes" : ""), slurp(arg));
     if (cmd == "charter") co_return co_await show("GET", "/v1/charter", "");
     if (cmd == "members") co_return co_await show("GET", "/v1/members", "");
@@ -64,7 +68,7 @@
     if (cmd == "status") co_return co_await show("GET", "/status", "");
     if (cmd == "ring") co_return co_await show("GET", "/ring", "");
     if (cmd == "stay") {
-      auto body = text(branch{{"name", arg}});
+      auto body = text(whom);
       co_return co_await show("POST", "/v1/stay", body);
     }
     if (cmd == "refound") {
@@ -72,10 +76,11 @@
       co_return co_await show("POST", "/v1/refound", body);
     }
     if (cmd == "held") co_return co_await poll("/v1/charter/held?number=" + arg, {}, "held");
-    auto body = text(branch{{"name", arg}, {"kind", job.kind}});
+    whom["kind"] = job.kind;
+    auto body = text(whom);
     auto r = co_await show("POST", "/v1/leave", body);
     if (r != fine || job.wait == 0) co_return r;
-    co_return co_await poll("/v1/leave", arg, "done");
+    co_return co_await poll("/v1/leave", job.zone.empty() ? arg : zone_key(job.zone), "done");
   }
 
  private:
@@ -148,9 +153,11 @@
   auto job = call();
   auto* at = static_cast<char*>(nullptr);
   auto* kind = static_cast<char*>(nullptr);
+  auto* zone = static_cast<char*>(nullptr);
   auto json = 0, dry = 0, help = 0;
   poptOption opts[] = {{"at", 'a', POPT_ARG_STRING, &at, 0, "HTTP addresses of queens (or of one node), commas between", "IP:PORT,..."},
                        {"kind", 'k', POPT_ARG_STRING, &kind, 0, "of a leaving: drain, evacuate, retire", "KIND"},
+                       {"zone", 'z', POPT_ARG_STRING, &zone, 0, "a whole zone, in place of a name", "ZONE"},
                        {"wait", 'w', POPT_ARG_INT, &job.wait, 0, "seconds to wait for it", "S"},
                        {"json", 'j', POPT_ARG_NONE, &json, 0, "print the JSON as it came", nullptr},
                        {"dry", 'n', POPT_ARG_NONE, &dry, 0, "change nothing", nullptr},
@@ -175,6 +182,8 @@
       job.at.push_back(one);
     }
   }
+  if (zone) job.zone = zone;
+  if (zone) job.kind = "evacuate";
   if (kind) job.kind = kind;
   job.json = json != 0;
   job.dry = dry != 0;
@@ -183,7 +192,10 @@
   if (job.words.empty()) return bad("no command");
   auto it = commands.find(job.words[0]);
   if (it == commands.end()) return bad("'" + job.words[0] + "' is no command");
-  if (job.words.size() != it->second + 1) return bad("'" + job.words[0] + "' wants " + std::to_string(it->second) + " word(s) after it");
+  auto wanted = it->second;
+  if (zone && job.words[0] != "leave" && job.words[0] != "stay") return bad("zone: goes with leave and stay");
+  if (zone) wanted = 0;
+  if (job.words.size() != wanted + 1) return bad("'" + job.words[0] + "' wants " + std::to_string(wanted) + " word(s) after it");
   try {
     if (job.words[0] == "check") {
       auto c = compile(slurp(job.words[1]));
@@ -211,6 +223,7 @@
     h.run();
     free(at);
     free(kind);
+    free(zone);
     return out;
   } catch (const verdict& v) {
     std::cerr << v.code << ": " << v.why << '\n';
--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -828,7 +828,7 @@
 
   auto away = [&](const std::string& m) {
     const auto* s = g.ses.known.find(name_of(m));
-    return g.ses.known.leavings.count(name_of(m)) > 0 || (s && s->leaving);
+    return s ? g.ses.known.leaves(*s) : g.ses.known.leavings.count(name_of(m)) > 0;
   };
   auto lost_back = !row.back.empty() && !in_touch(row.back) && h.now() - mates[row.back].heard > g.set.lose;
   if (lost_back && !waits.empty()) give_up("the second copy is out of reach");
@@ -921,7 +921,7 @@
     }
   }
   // Going: hand over to a pair that has everything.
-  auto going = (wish_hand && sound) || g.leaving() || g.ses.known.leavings.count(name_of(me())) > 0;
+  auto going = (wish_hand && sound) || g.leaving() || g.ses.known.leaves(g.ses.me);
   if (going && !row.back.empty() && in_touch(row.back) && !away(row.back)) {
     handing = true;
     auto end = h.now() + g.set.lose;
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -42,7 +42,14 @@
 }
 forager::~forager() = default;
 
-auto forager::ready() const -> bool { return !going && ses.may_serve() && ses.fresh(); }
+auto forager::serves() const -> bool { return !going && ses.may_serve() && ses.fresh(); }
+// Out of an evacuated zone new links go elsewhere, as long as there is an elsewhere.
+auto forager::ready() const -> bool {
+  if (!serves()) return false;
+  if (!ses.known.evacuated(set.zone)) return true;
+  auto seats = ses.known.all();
+  return std::none_of(seats.begin(), seats.end(), [&](const auto& kv) { return kv.second.kind == "forager" && kv.second.ready && !ses.known.leaves(kv.second); });
+}
 
 auto forager::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
@@ -301,7 +308,7 @@
 auto forager::attend(std::shared_ptr<talk> io) -> task<void> {
   auto d = std::make_shared<downstream>();
   d->io = io;
-  ever = ever || ready();
+  ever = ever || serves();
   // One that has served keeps its links while a lease is lacking: each request is told so.
   if (!ever || links.size() >= static_cast<std::size_t>(set.links)) {
     auto first = co_await io->next(h.now() + set.lose);
@@ -400,7 +407,7 @@
     auto end = pending ? h.now() + set.beat / 2 : h.now() + set.lose;
     co_await ses.news.wait(h, end);
     pending = false;
-    ever = ever || ready();
+    ever = ever || serves();
     if (ses.known.law && ses.known.law->number != judged) {
       judged = ses.known.law->number;
       auto out = std::vector<std::pair<std::string, const char*>>();
--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "queen/realm.hpp"
+
 namespace hive {
 
 balancer::balancer(host& hh, std::vector<std::string> webs) : h(hh), home(hh) {
@@ -273,6 +275,24 @@
   co_return false;
 }
 
+auto keeper::evacuate(std::string zone, tick until) -> task<bool> {
+  auto body = text(branch{{"zone", zone}, {"kind", "evacuate"}});
+  auto key = zone_key(zone);
+  auto r = reply();
+  while (r.code != 200 && h.now() < until) {
+    r = co_await ask("POST", "/v1/leave", body, until);
+    if (r.code != 200) co_await rest(h, 200 * msec);
+  }
+  if (r.code != 200) co_return false;
+  log.note(h, branch{{"e", "left"}, {"name", key}});  // acknowledged: it holds from now on
+  while (h.now() < until) {
+    r = co_await ask("GET", "/v1/leave", "", until);
+    if (r.code == 200 && yes(sub(r.body, key), "done")) co_return true;
+    co_await rest(h, 200 * msec);
+  }
+  co_return false;
+}
+
 auto keeper::pull(std::string queen, tick until) -> task<bool> {
   auto t0 = h.now() / msec;
   auto r = co_await fetch(h, queen, "GET", "/v1/charter", "", until);
@@ -283,7 +303,7 @@
   if (r.code != 200) co_return false;
   auto names = twigs();
   for (const auto& kv : r.body.as_object())
-    if (yes(kv.value(), "done")) names.emplace_back(kv.key());
+    if (yes(kv.value(), "done") || !zone_of_key(std::string(kv.key())).empty()) names.emplace_back(kv.key());
   log.note(h, branch{{"e", "leaves"}, {"names", names}, {"t0", t0}});
   co_return true;
 }
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -89,6 +89,7 @@
   auto await_held(std::int64_t number, tick until) -> task<bool>;
   auto probe_all(std::int64_t low, std::int64_t high) -> task<void>;
   auto leave(std::string name, std::string kind, tick until) -> task<bool>;
+  auto evacuate(std::string zone, tick until) -> task<bool>;  // true once nothing is left there
   auto read_back(tick until) -> task<bool>;  // from a queen drawn at random
   auto read_all(std::vector<std::string> from, tick until) -> task<bool>;  // from each of these
   auto stroll(std::function<std::int64_t()> newest) -> task<void>;  // probes and reads at a steady pace, for ever
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -276,10 +276,34 @@
 
 auto queen::live_combs() const -> std::map<std::string, seat> {
   auto out = std::map<std::string, seat>();
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !known.leaves(s)) out[n] = s;
+  return out;
+}
+auto queen::combs_at_need() const -> std::map<std::string, seat> {
+  auto out = live_combs();
+  auto zones = std::set<std::string>();
+  for (const auto& [n, s] : out) zones.insert(s.zone);
+  if (zones.size() >= 2) return out;
   for (const auto& [n, s] : known.all())
     if (s.kind == "comb" && !s.disk.empty() && !s.leaving && !law.leavings.count(n)) out[n] = s;
   return out;
 }
+// Who could hold copies without this comb: those in reach, and those out of reach that hold some.
+auto queen::rest_without(const std::string& name) const -> branch {
+  auto out = branch();
+  for (const auto& [id, c] : law.cells)
+    for (const auto& m : c.step)
+      if (name_of(m) != name) out[name_of(m)] = "";
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !s.leaving && n != name) out[n] = s.zone;
+  return out;
+}
+auto queen::zones() const -> std::set<std::string> {
+  auto out = std::set<std::string>();
+  for (const auto& [n, s] : known.all()) out.insert(s.zone);
+  return out;
+}
 auto queen::loads() const -> std::map<std::string, std::int64_t> {
   auto out = std::map<std::string, std::int64_t>();
   for (const auto& [id, c] : law.cells) {
@@ -297,7 +321,11 @@
   auto not_name = list(t, "not").empty() ? std::string() : std::string(list(t, "not")[0].as_string());
   auto use = loads();
   auto best = std::string();
-  auto combs = live_combs();
+  // A pair that has two copies waits for a comb outside of the evacuated zones; a single copy takes any.
+  auto row = law.cells.find(str_or(t, "cell"));
+  const auto* back = row == law.cells.end() ? nullptr : known.find(name_of(row->second.back));
+  auto paired = back && back->member() == row->second.back;
+  auto combs = paired ? live_combs() : combs_at_need();
   for (const auto& [n, s] : combs) {
     if (s.zone == zone || bar.count(s.member()) || name_of(not_name) == n) continue;
     auto cost = [&](const std::string& x) { return use[x] + drawn[x]; };
@@ -328,7 +356,7 @@
     if (!sure() || !law.law) continue;
     drawn.clear();
     balance();
-    auto combs = live_combs();
+    auto combs = combs_at_need();
     auto use = loads();
     try {
       for (const auto& [name, s] : law.law->pools) {
@@ -359,7 +387,7 @@
       for (const auto& id : dead) co_await refound(id, false);
       auto open = std::vector<std::string>();
       for (const auto& [n, l] : law.leavings)
-        if (!l.done && law.held_by(n).empty()) open.push_back(n);
+        if (!l.done && zone_of_key(n).empty() && law.held_by(n).empty()) open.push_back(n);
       for (const auto& n : open) {
         auto d = tree(branch{{"k", "left"}, {"name", n}});
         co_await book.propose(std::move(d), h.now() + set.lose);
@@ -380,7 +408,7 @@
 }
 
 auto queen::refound(std::string id, bool forsake) -> task<tree> {
-  auto combs = live_combs();
+  auto combs = combs_at_need();
   auto use = loads();
   auto order = std::vector<seat>();
   for (const auto& [n, c] : combs) order.push_back(c);
@@ -502,9 +530,19 @@
     now.restore(sub(out, "realm"));
     auto rows = branch();
     for (const auto& [n, l] : now.leavings) {
+      // Of a zone the ledger knows no nodes: what is left there is what those in reach hold.
+      auto zone = zone_of_key(n);
+      auto ids = std::set<std::string>();
+      if (zone.empty()) {
+        for (const auto& id : now.held_by(n)) ids.insert(id);
+      } else {
+        for (const auto& [m, s] : known.all())
+          if (s.kind == "comb" && s.zone == zone)
+            for (const auto& id : now.held_by(m)) ids.insert(id);
+      }
       auto left = twigs();
-      for (const auto& id : now.held_by(n)) left.emplace_back(id);
-      rows[n] = branch{{"kind", l.kind}, {"done", l.done}, {"left", left}};
+      for (const auto& id : ids) left.emplace_back(id);
+      rows[n] = branch{{"kind", l.kind}, {"done", zone.empty() ? l.done : ids.empty()}, {"left", left}};
     }
     co_return response{200, rows, {}};
   }
@@ -512,22 +550,36 @@
   auto t = boost::json::parse(r.body, ec);
   if (ec || !t.is_object()) throw verdict("malformed", "the body is no JSON object");
   for (const auto& kv : t.get_object())
-    if (kv.key() != "name" && kv.key() != "kind") throw verdict("malformed", "unknown field " + std::string(kv.key()));
-  if (!sub(t, "name").is_string()) throw verdict("malformed", "name is missing");
-  auto name = str(t, "name");
-  auto kind = str_or(t, "kind", "drain");
+    if (kv.key() != "name" && kv.key() != "zone" && kv.key() != "kind" && kv.key() != "copies") throw verdict("malformed", "unknown field " + std::string(kv.key()));
+  auto whole_zone = sub(t, "zone").is_string();
+  if (whole_zone == sub(t, "name").is_string()) throw verdict("malformed", "either name or zone is wanted");
+  auto name = whole_zone ? zone_key(str(t, "zone")) : str(t, "name");
+  if (!whole_zone && !zone_of_key(name).empty()) throw verdict("malformed", "'" + name + "' is no name of a node");
+  auto kind = str_or(t, "kind", whole_zone ? "evacuate" : "drain");
   if (kind != "drain" && kind != "evacuate" && kind != "retire") throw verdict("malformed", "kind is drain, evacuate or retire");
+  auto copies = std::int64_t{2};
+  if (const auto& v = sub(t, "copies"); v.is_int64() && v.get_int64() > 0) copies = v.get_int64();
+  else if (!v.is_null()) throw verdict("malformed", "copies wants a number above 0");
   if (r.path == "/v1/stay") {
     auto d = tree(branch{{"k", "stay"}, {"name", name}});
     auto out = co_await deed(std::move(d));
     if (!yes(out, "ok")) throw verdict::from_tree(out);
     co_return response{200, out, {}};
   }
+  if (whole_zone) {
+    auto d = tree(branch{{"k", "leave"}, {"name", name}, {"kind", kind}});
+    auto out = co_await deed(std::move(d));
+    if (!yes(out, "ok")) throw verdict::from_tree(out);
+    if (!zones().count(str(t, "zone"))) out.as_object()["warn"] = "no node of zone " + str(t, "zone") + " is known now";
+    co_return response{200, out, {}};
+  }
   auto known_here = false;
   for (const auto& [id, c] : law.cells) known_here |= name_of(c.prim) == name || name_of(c.back) == name;
   if (const auto* s = known.find(name); s && s->kind == "comb") known_here = true;
   if (!known_here && !law.leavings.count(name)) throw verdict("not_found", "no comb " + name + " is known");
-  if (kind == "retire") {
+  auto d = branch{{"k", "leave"}, {"name", name}, {"kind", kind}};
+  auto under_way = law.leavings.count(name) && law.leavings[name].kind == "retire";
+  if (kind == "retire" && !under_way) {
     for (const auto& [id, c] : law.cells) {
       auto has = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) { return name_of(m) == name; });
       auto other = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) {
@@ -536,8 +588,11 @@
       });
       if (has && !other) throw verdict("last_copy", name + " holds the last copy in step of " + id + " that is in reach", ran::no, set.lose / msec);
     }
+    auto rest = rest_without(name);
+    if (auto why = law.too_few(rest, copies); !why.empty()) throw verdict("too_few", why);
+    d["rest"] = rest;
+    d["copies"] = copies;
   }
-  auto d = tree(branch{{"k", "leave"}, {"name", name}, {"kind", kind}});
   auto out = co_await deed(std::move(d));
   if (!yes(out, "ok")) throw verdict::from_tree(out);
   co_return response{200, out, {}};
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -19,6 +19,7 @@
   [[nodiscard]] auto status() const -> tree;
   auto page(request r) -> task<response>;
   [[nodiscard]] auto leads() const -> bool { return book.leads(); }
+  [[nodiscard]] auto zones() const -> std::set<std::string>;  // where nodes stand whose sessions are known here
   auto reload(const config& c) -> void { set = c; }
   auto leave(tick limit) -> task<void>;  // gives up the lead first
   realm law;
@@ -49,6 +50,9 @@
   [[nodiscard]] auto sure() const -> bool;
   [[nodiscard]] auto lacking(const charter& next) const -> std::string;
   [[nodiscard]] auto live_combs() const -> std::map<std::string, seat>;
+  // As those, with the combs of evacuated zones if the others stand in fewer than two localities.
+  [[nodiscard]] auto combs_at_need() const -> std::map<std::string, seat>;
+  [[nodiscard]] auto rest_without(const std::string& name) const -> branch;
   [[nodiscard]] auto all_lost(const cell_row& c) const -> bool;
   auto refound(std::string id, bool forsake) -> task<tree>;
   auto balance() -> void;
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -1,6 +1,7 @@
 #include "queen/realm.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "wax/verdict.hpp"
 
@@ -8,6 +9,10 @@
 
 auto name_of(const std::string& m) -> std::string { return m.substr(0, m.find('/')); }
 
+constexpr auto zone_mark = std::string_view("zone:");
+auto zone_key(const std::string& zone) -> std::string { return std::string(zone_mark) + zone; }
+auto zone_of_key(const std::string& key) -> std::string { return key.compare(0, zone_mark.size(), zone_mark) == 0 ? key.substr(zone_mark.size()) : ""; }
+
 auto cell_row::to_tree() const -> tree {
   auto s = twigs();
   for (const auto& m : step) s.emplace_back(m);
@@ -33,6 +38,22 @@
   return out;
 }
 
+auto realm::too_few(const tree& rest, std::int64_t copies) const -> std::string {
+  auto zones = std::set<std::string>();
+  auto count = std::int64_t{0}, hidden = std::int64_t{0};
+  for (const auto& kv : rest.as_object()) {
+    auto name = std::string(kv.key());
+    if (leavings.count(name)) continue;
+    ++count;
+    auto zone = std::string(kv.value().as_string());
+    if (zone.empty()) ++hidden;
+    else zones.insert(zone);
+  }
+  if (count < copies) return std::to_string(count) + " combs would be left, " + std::to_string(copies) + " are needed";
+  if (static_cast<std::int64_t>(zones.size()) + hidden < 2) return "the combs that would be left stand in one locality";
+  return {};
+}
+
 auto realm::apply(std::int64_t idx, const tree& deed) -> tree {
   try {
     auto k = str(deed, "k");
@@ -81,6 +102,11 @@
   if (next.prim.empty() || !next.in_step(next.prim)) return no("a primary must be in step");
   if (!next.back.empty() && name_of(next.back) == name_of(next.prim)) return no("a pair wants two nodes");
   if (now.epoch > 0 && !now.in_step(next.prim)) return no("only a node in step may hold the cell");
+  // Told done, a retired node gets nothing again, also by a move that was under way.
+  for (const auto& [n, l] : leavings) {
+    auto is_n = [&, n = n](const std::string& m) { return name_of(m) == n; };
+    if (l.kind == "retire" && l.done && (is_n(next.back) || std::any_of(next.step.begin(), next.step.end(), is_n))) return no("a retired node holds nothing");
+  }
   next.epoch = now.epoch + 1;
   next.root = now.root;
   next.idx = idx;
@@ -112,12 +138,15 @@
   auto k = str(d, "k");
   if (k == "leave") {
     auto kind = str(d, "kind");
-    auto& l = leavings[name];
-    if (l.kind == kind || (l.kind == "retire")) {
-      if (l.kind != kind) throw verdict("taken", name + " is being retired already");
-      return branch{{"ok", true}, {"repeat", true}, {"done", l.done}};
+    if (!zone_of_key(name).empty() && kind != "evacuate") throw verdict("malformed", "a zone can only be evacuated");
+    if (auto it = leavings.find(name); it != leavings.end() && (it->second.kind == kind || it->second.kind == "retire")) {
+      if (it->second.kind != kind) throw verdict("taken", name + " is being retired already");
+      return branch{{"ok", true}, {"repeat", true}, {"done", it->second.done}};
     }
-    l = {kind, false, idx};
+    // Said again here, since two retirements may be under way at once.
+    if (const auto& rest = sub(d, "rest"); rest.is_object())
+      if (auto why = too_few(rest, num_or(d, "copies", 2)); !why.empty()) throw verdict("too_few", why);
+    leavings[name] = {kind, false, idx};
   } else if (k == "stay") {
     auto it = leavings.find(name);
     if (it == leavings.end()) return branch{{"ok", true}, {"repeat", true}};
@@ -125,7 +154,7 @@
     leavings.erase(it);
   } else {
     auto it = leavings.find(name);
-    if (it == leavings.end()) throw verdict("not_found", name + " is not leaving");
+    if (it == leavings.end() || !zone_of_key(name).empty()) throw verdict("not_found", name + " is not leaving");
     if (!held_by(name).empty()) return branch{{"ok", false}, {"why", "cells are left there"}};
     it->second.done = true;
   }
--- a/queen/realm.hpp
+++ b/queen/realm.hpp
@@ -23,6 +23,9 @@
   [[nodiscard]] auto in_step(const std::string& m) const -> bool;
 };
 auto name_of(const std::string& member) -> std::string;
+// What a whole zone that is evacuated is called among the leavings; no node has a ':' in its name.
+auto zone_key(const std::string& zone) -> std::string;
+auto zone_of_key(const std::string& key) -> std::string;  // empty: it names a node
 
 class realm {
  public:
@@ -34,13 +37,16 @@
   std::int64_t law_idx = 0;
   std::map<std::string, cell_row> cells;
   struct leaving {
-    std::string kind;  // drain, evacuate or retire
+    std::string kind;  // drain, evacuate or retire; a zone is only evacuated, and never done by itself
     bool done = false;
     std::int64_t idx = 0;
   };
   std::map<std::string, leaving> leavings;
   std::int64_t cells_ver = 0;  // the entry that last changed cells or leavings
   [[nodiscard]] auto held_by(const std::string& name) const -> std::vector<std::string>;
+  // Why these nodes, name -> zone, cannot hold `copies` copies in two localities; empty: they can. A node
+  // without a zone is out of reach and may stand in any. Those that leave do not count.
+  [[nodiscard]] auto too_few(const tree& rest, std::int64_t copies) const -> std::string;
 
  private:
   auto on_charter(std::int64_t idx, const tree& d) -> tree;
--- a/queen/realm_test.cpp
+++ b/queen/realm_test.cpp
@@ -59,3 +59,43 @@
   CHECK(hive::yes(r.apply(5, hive::branch{{"k", "left"}, {"name", "y"}}), "ok"));
   CHECK(r.leavings["y"].done);
 }
+TEST(realm_deeds, a_zone_is_evacuated_until_it_is_taken_back) {
+  auto r = hive::realm();
+  auto key = hive::zone_key("z1");
+  STRCMP_EQUAL("z1", hive::zone_of_key(key).c_str());
+  STRCMP_EQUAL("", hive::zone_of_key("x").c_str());
+  auto leave = hive::branch{{"k", "leave"}, {"name", key}, {"kind", "evacuate"}};
+  CHECK(hive::yes(r.apply(1, leave), "ok"));
+  CHECK(hive::yes(r.apply(2, leave), "repeat"));
+  STRCMP_EQUAL("not_found", hive::str(r.apply(3, hive::branch{{"k", "left"}, {"name", key}}), "code").c_str());
+  STRCMP_EQUAL("malformed", hive::str(r.apply(4, hive::branch{{"k", "leave"}, {"name", key}, {"kind", "retire"}}), "code").c_str());
+  auto again = hive::realm();
+  again.restore(r.capture());
+  LONGS_EQUAL(1, again.leavings.count(key));
+  CHECK(hive::yes(r.apply(5, hive::branch{{"k", "stay"}, {"name", key}}), "ok"));
+  CHECK(hive::yes(r.apply(6, hive::branch{{"k", "stay"}, {"name", key}}), "repeat"));
+  LONGS_EQUAL(0, r.leavings.count(key));
+  LONGS_EQUAL(5, r.cells_ver);
+}
+// Each was checked before the other was there: the second is refused where they meet.
+TEST(realm_deeds, two_retirements_leave_enough_between_them) {
+  auto r = hive::realm();
+  auto retire = [](const char* name, const hive::branch& rest, int copies = 2) {
+    return hive::branch{{"k", "leave"}, {"name", name}, {"kind", "retire"}, {"rest", rest}, {"copies", copies}};
+  };
+  STRCMP_EQUAL("too_few", hive::str(r.apply(1, retire("x", {{"y", "z2"}, {"w", "z3"}}, 3)), "code").c_str());
+  STRCMP_EQUAL("too_few", hive::str(r.apply(2, retire("x", {{"y", "z2"}, {"w", "z2"}})), "code").c_str());
+  CHECK(r.leavings.empty());
+  CHECK(hive::yes(r.apply(3, retire("x", {{"y", "z2"}, {"w", ""}})), "ok"));  // out of reach, w may stand anywhere
+  STRCMP_EQUAL("too_few", hive::str(r.apply(4, retire("y", {{"x", "z1"}, {"w", "z3"}})), "code").c_str());
+  CHECK(hive::yes(r.apply(5, retire("x", {})), "repeat"));
+}
+TEST(realm_deeds, a_retired_node_gets_nothing_again) {
+  auto r = hive::realm();
+  r.apply(1, cell(0, "x/1", "y/1", {"x/1", "y/1"}));
+  r.apply(2, hive::branch{{"k", "leave"}, {"name", "w"}, {"kind", "retire"}});
+  CHECK(hive::yes(r.apply(3, hive::branch{{"k", "left"}, {"name", "w"}}), "ok"));
+  CHECK_FALSE(hive::yes(r.apply(4, cell(1, "x/1", "w/1", {"x/1", "w/1"})), "ok"));  // the move began before
+  CHECK(r.held_by("w").empty());
+  CHECK(hive::yes(r.apply(5, cell(1, "x/1", "v/1", {"x/1", "v/1"})), "ok"));
+}
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -220,7 +220,7 @@
 }
 auto fleet::behind(std::int64_t n) const -> std::string {
   for (const auto& [name, p] : all)
-    if (p->f && p->f->ready() && p->f->ses.known.law->number < n) return name;
+    if (p->f && p->f->serves() && p->f->ses.known.law->number < n) return name;
   return {};
 }
 
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -61,7 +61,6 @@
   [[nodiscard]] auto backup_of(const std::string& cell) const -> std::string;
   [[nodiscard]] auto busiest() const -> std::string;
   [[nodiscard]] auto leader() const -> std::string;
-  [[nodiscard]] auto combs_of(const std::string& zone) const -> std::vector<std::string>;
   auto names(const std::string& kind_or_zone) const -> std::vector<std::string>;
   auto add_comb() -> std::string;
   auto add_forager() -> std::string;  // with its scout, on a machine of their own
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -14,7 +14,7 @@
 const auto verbs = std::map<std::string, std::size_t>{
     {"kill", 1}, {"start", 1}, {"term", 1}, {"freeze", 1}, {"power", 1}, {"cut", 2}, {"oneway", 2}, {"island", 1},
     {"losedisk", 1}, {"flip", 2}, {"reset", 1}, {"charter", 0}, {"stale", 0}, {"bad", 0}, {"race", 0}, {"leave", 2},
-    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"grow", 0}, {"riskdisk", 1}, {"riskflip", 2}};
+    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"riskdisk", 1}, {"riskflip", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -328,6 +328,14 @@
       auto gone = cue{c.low, c.high, "leave", {pick(stay), "evacuate"}, 120 * sec, c.line};
       leaving.insert(gone.args[0]);
       act(gone);
+    } else if (c.verb == "clear") {  // a whole zone is evacuated
+      auto limit = w.clock + (c.span ? c.span : 30 * sec);
+      auto zone = a[0];
+      auto* cs = &counts;
+      f.operate([zone, limit, cs](keeper& k) -> task<void> {
+        auto ok = co_await k.evacuate(zone, limit);
+        ++(*cs)[ok ? "cleared" : "clear_late"];
+      });
     } else if (c.verb == "leave") {
       auto row = who(a[0]);
       auto kind = a[1];
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -226,7 +226,7 @@
   if (v.back_ms >= 0) return 503;
   if (v.code == "denied") return 403;
   if (v.code == "not_found") return 404;
-  if (v.code == "stale" || v.code == "taken" || v.code == "below" || v.code == "gone") return 409;
+  if (v.code == "stale" || v.code == "taken" || v.code == "below" || v.code == "gone" || v.code == "too_few") return 409;
   if (v.code == "too_long") return 413;
   return 400;
 }
