swarm tells what a fleet costs: sends, bytes, syncs and wake-ups a second

Cause: what standing still costs on a platform that charges wake-ups, system calls and bytes was not measured anywhere. Change: the air counts sends on streams and their bytes, syncs and the times a process wakes; each run prints them for a second of its length.

--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -22,6 +22,8 @@
   auto send(std::string_view bytes) -> void override {
     if (shut || ended) return;
     out.append(bytes);
+    ++own.world.sends;
+    own.world.bytes += bytes.size();
     pump();
   }
   auto close() -> void override {
@@ -154,6 +156,7 @@
 
  protected:
   auto write(std::vector<deed> row) -> task<void> override {
+    ++own.world.syncs;
     auto took = own.box.sync_cost;
     took = took / 2 + static_cast<tick>(own.dice() % static_cast<std::uint64_t>(took + 1));
     auto& box = own.box;
@@ -280,6 +283,7 @@
       fn();
       continue;
     }
+    if (who->cost > 1 && clock > who->busy) ++wakes;
     auto work = static_cast<tick>(static_cast<double>(who->cost) * who->box.slow);
     if (who->held) {
       who->busy = clock;
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -89,6 +89,8 @@
   double loss = 0;          // share of packets sent again
   tick wire = 300;          // one way, microseconds
   std::uint64_t steps = 0, packets = 0;
+  // What standing and working cost: sends and their bytes, syncs of disks, times a process woke.
+  std::uint64_t sends = 0, bytes = 0, syncs = 0, wakes = 0;
   std::map<std::string, std::unique_ptr<machine>> machines;
   std::map<std::string, sim_door*> doors;   // by address
   std::set<sim_host*> hosts_set;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -1,6 +1,7 @@
 #include "swarm/scene.hpp"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -599,6 +600,8 @@
         std::cout << '\n';
       }
     });
+  auto cost = [&w = f.world] { return std::array<std::uint64_t, 4>{w.sends, w.bytes, w.syncs, w.wakes}; };
+  auto before = cost();
   auto lag = std::int64_t{0};
   auto rows = std::size_t{0};
   while (f.world.clock < zero + s.length) {
@@ -614,6 +617,7 @@
       }
     }
   }
+  auto after = cost();
   counts["lag_ms"] = lag;
   counts["disk_rows"] = static_cast<std::int64_t>(rows);
   // Half of all runs close with one last fault: all power goes while callers are at it.
@@ -667,6 +671,8 @@
   auto facts = std::ostringstream();
   for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms", "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
     if (counts[k]) facts << k << ' ' << counts[k] << ' ';
+  auto each = [&](std::size_t i) { return (after[i] - before[i]) * sec / static_cast<std::uint64_t>(s.length); };
+  facts << "sends/s " << each(0) << " kB/s " << each(1) / 1000 << " syncs/s " << each(2) << " wakes/s " << each(3) << ' ';
   facts << "steps " << f.world.steps;
   if (!out.bad.empty()) {
     auto row = std::string("answers:");
