A refused dial tells of a dead process: claims, pairs, sessions and elections do not wait

Cause: nearly all of a takeover was detection. A killed process closes its links, and its machine refuses the next dial, but dial() answered the same for refused and silent; so a backup gave it two beats and a spread, a primary the same for its copy, a session two beats, and voters the quiet and an election's time. Change: dial() says whether it was refused, on both hosts. A backup whose channel closed dials its primary at once and claims if refused; a colleague redials a closed link at once and tells when it is refused, by which a primary seeks a new pair, a session takes another queen and voters drop their quiet and run, in the order of their seats. A candidate stops waiting once all have answered. "Took hold" waits a voter's quiet longer, so that it holds even if a refusal lied.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -400,6 +400,7 @@
   }
   lord = str(t, "from");
   lord_epoch = e;
+  lord_gone = false;
   heard = h.now();
   if (role != part::back) back_at = h.now();
   role = part::back;
@@ -446,6 +447,7 @@
     return;
   }
   lord_wire = w;
+  lord_gone = false;
   heard = h.now();
   auto prev = num(t, "prev");
   if (prev > last() || epoch_at(prev) != num(t, "prev_epoch")) {
@@ -469,10 +471,18 @@
 
 // A closed channel speaks louder than silence: a primary that lives opens it again
 // within a beat or two, one that was killed does not.
-auto cell::channel_closed(const wire_ptr& w) -> void {
-  if (role != part::back || lord_wire != w) return;
+auto cell::channel_closed(const wire_ptr& w) -> bool {
+  if (role != part::back || lord_wire != w) return false;
   lord_wire.reset();
   heard = std::min(heard, h.now() - g.set.lose + g.set.beat * 2);
+  return true;
+}
+
+auto cell::primary_gone(const std::string& name) -> void {
+  if (role != part::back || lord_wire || name_of(lord) != name || row.prim != lord) return;
+  lord_gone = true;
+  hurry = true;
+  stir.wake();
 }
 
 auto cell::ack(bool nack) -> void {
@@ -516,7 +526,7 @@
 
 auto cell::start_feed(const std::string& m) -> void {
   if (m.empty() || mates.count(m)) return;
-  mates[m].heard = h.now();
+  mates[m].heard = mates[m].since = h.now();
   home.spawn(feed(m, stint));
 }
 
@@ -570,6 +580,7 @@
         k.done = done;
         k.brought = last();
         k.joined = true;
+        k.gone = false;
         k.nacked = false;
         k.heard = h.now();
       }
@@ -602,6 +613,12 @@
     if (!on()) break;
     if (moved) continue;  // only the epoch went up: join again at once
     mates[m].joined = false;
+    if (c.refused_at() > mates[m].since && !mates[m].gone) {  // dead, not only silent: its place is filled at once
+      mates[m].gone = true;
+      mates[m].heard = h.now() - g.set.lose - 1;
+      hurry = true;
+      stir.wake();
+    }
     co_await rest(h, c.up() ? g.set.beat : g.set.beat / 8);
   }
 }
@@ -641,8 +658,8 @@
 // The ledger's word. Who lost a claim halts and takes the part it is given.
 auto cell::meet(const cell_row& r) -> void {
   if (r.epoch <= row.epoch) return;
-  auto was = row;
   row = r;
+  lord_gone = false;
   if (role == part::prim && r.prim != me()) halt("epoch " + std::to_string(r.epoch) + " is led by " + r.prim);
   if (role == part::prim && r.prim == me()) {
     hive::log(grade::note, g.set.name, id + ": own move found in the ledger");
@@ -908,7 +925,7 @@
       lag_was = 0;
       hive::log(grade::note, g.set.name, id + ": pair is " + mine + " now");
       release();
-    } else if (h.now() - std::max(fresh_since, k.heard) > g.set.lose || h.now() - fresh_since > g.set.lose * 15) {
+    } else if (k.gone || h.now() - std::max(fresh_since, k.heard) > g.set.lose || h.now() - fresh_since > g.set.lose * 15) {
       hive::log(grade::note, g.set.name, id + ": gives up on " + fresh_back);
       if (unsure == row.epoch) {  // first it must be known that the move will never come about
         auto won = co_await propose(row, "settles a move without an answer");
@@ -962,8 +979,8 @@
         continue;
       } else if (row.prim == me()) {
         co_await claim(row.epoch == 1 ? "first start" : "its primary is back");
-      } else if (row.in_step(me()) && h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience) {
-        co_await claim("its primary is silent");
+      } else if (row.in_step(me()) && (lord_gone || h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience)) {
+        co_await claim(lord_gone ? "its primary's process is gone" : "its primary is silent");
         patience = h.spread(g.set.beat);
       }
     } catch (const verdict& v) {
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -47,7 +47,9 @@
   auto on_copy(tree t) -> task<tree>;
   auto on_log(const wire_ptr& w, const tree& t) -> void;
   auto on_wait(std::int64_t epoch) -> void;  // its new primary still replays
-  auto channel_closed(const wire_ptr& w) -> void;
+  auto channel_closed(const wire_ptr& w) -> bool;  // did this cell follow a primary on it?
+  auto primary_gone(const std::string& name) -> void;  // that comb's process is known to be dead
+  auto link_turned() -> void { grown.wake(); }         // a copy's link came up or fell
   auto on_ack(const std::string& member, const tree& t) -> void;
 
   [[nodiscard]] auto load_units() const -> std::int64_t { return role == part::prim ? 2 : role == part::back ? 1 : 0; }
@@ -74,6 +76,8 @@
     std::int64_t brought = -1;  // what it lacked when it joined: bringing that is not lag
     tick heard = 0;
     bool joined = false, nacked = false;
+    bool gone = false;  // its process is known to be dead
+    tick since = 0;     // when feeding it began
     std::int64_t copies = 0;
   };
   struct pending {
@@ -152,6 +156,7 @@
   tick paced = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
   bool handing = false, hurry = false;
+  bool lord_gone = false;  // the primary's process is known to be dead
   signal grown, rows_in, stir, dirty;
   nest home;
 };
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -72,6 +72,11 @@
       if (str_or(t, "op") != "c.ack") return;
       if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_ack(str(t, "me"), t);
     };
+    auto look = [this] {
+      for (auto& [id, one] : cells) one->link_turned();
+    };
+    c->on_turn = [look](bool) { look(); };
+    c->on_gone = look;
   }
   return *c;
 }
@@ -108,6 +113,29 @@
   }
 }
 
+// A closed channel and then a dial that is refused tell of a dead process at once; a machine
+// without power and a cut say nothing, and are found by their silence (design 6.5).
+auto comb::inquire(std::string name) -> task<void> {
+  const auto* s = ses.known.find(name);
+  if (!s || s->addr.empty()) co_return;
+  auto addr = s->addr;
+  auto end = h.now() + set.beat * 2;
+  while (h.now() < end) {
+    auto refused = false;
+    auto way = co_await h.dial(addr, end, &refused);
+    if (refused) {
+      for (auto& [id, one] : cells) one->primary_gone(name);
+      co_return;
+    }
+    if (!way) co_return;
+    // A process on its way out may still have taken the dial: then this link is closed too.
+    auto live = co_await way->more(h.now() + set.beat / 4);
+    way->close();
+    if (live || !way->shut) co_return;
+    co_await rest(h, set.beat / 16);
+  }
+}
+
 auto comb::serving() const -> std::int64_t {
   auto out = ses.known.law ? ses.known.law->number : 0;
   for (const auto& [id, c] : cells)
@@ -138,10 +166,12 @@
       some = true;
       ++worked;
       if (c.what == command::kind::lost) {
+        auto led = false;
         for (auto& [id, one] : cells) {
           one->lost(c.w);
-          one->channel_closed(c.w);
+          led |= one->channel_closed(c.w);
         }
+        if (led) home.spawn(inquire(c.w->who));
         break;
       }
       auto it = cells.find(c.cell);
--- a/comb/comb.hpp
+++ b/comb/comb.hpp
@@ -19,6 +19,7 @@
   auto leave(tick limit) -> task<void>;
   auto reload(const config& c) -> void;
   [[nodiscard]] auto cell_at(const std::string& id) const -> const cell*;
+  auto reach(const std::string& addr) -> colleague&;  // the standing link to another comb
   session ses;
 
  private:
@@ -33,8 +34,8 @@
   auto note(const wire_ptr& w, const tree& t) -> void;
   auto work() -> task<void>;
   auto found() -> task<void>;
+  auto inquire(std::string name) -> task<void>;  // does the process that closed its link still live?
   auto add(const std::string& id) -> cell&;
-  auto reach(const std::string& addr) -> colleague&;
   auto lane(const std::string& cell_id) const -> std::size_t;
   auto queue(command c) -> void;
   auto page(request r) -> task<response>;
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -214,10 +214,24 @@
 
 auto ledger::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
-  if (!c) c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+  if (!c) {
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose});
+    c->on_gone = [this, addr] { leader_gone(addr); };
+  }
   return *c;
 }
 
+// The leader's link was closed and its address refuses: its process is dead, and the quiet
+// promised to it has no one left to protect (design 4.4).
+auto ledger::leader_gone(const std::string& addr) -> void {
+  if (role != part::follow || lead != addr) return;
+  hive::log(grade::note, set.name, "the leader's process is gone: " + addr);
+  heard_lead = -never;
+  orphaned = h.now();
+  follow(term, "");
+  pushed.wake();
+}
+
 auto ledger::ask_leader(tree t, tick until) -> task<tree> {
   if (lead.empty() || lead == me.addr) throw verdict("no_leader", "no ledger leader is known here", ran::no, set.lose / msec);
   co_return co_await reach(lead).ask(std::move(t), until);
@@ -238,7 +252,13 @@
       continue;
     }
     auto due = std::max(heard_lead, h.now() - heat) + heat + static_cast<tick>(h.below(static_cast<std::uint64_t>(heat)));
-    co_await nap(h, due);
+    if (h.now() - orphaned < heat && h.now() - heard_lead >= heat) {
+      // Nobody's quiet to keep: at once, one after the other so that the votes do not split.
+      auto turn = std::find(panel.begin(), panel.end(), me) - panel.begin();
+      due = h.now() + turn * set.beat / 2 + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.beat / 4)));
+    }
+    auto sooner = co_await pushed.wait(h, due);
+    if (sooner) continue;
     if (role == part::lead || h.now() - heard_lead < heat) continue;
     if (!may_vote() || leaving || role == part::run) continue;
     if (!lead.empty()) follow(term, "");
@@ -249,7 +269,7 @@
   }
 }
 
-auto ledger::canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> ayes, std::shared_ptr<signal> s) -> task<void> {
+auto ledger::canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> ayes, std::shared_ptr<std::size_t> left, std::shared_ptr<signal> s) -> task<void> {
   try {
     auto r = co_await reach(v.addr).ask(std::move(t), h.now() + heat);
     if (num(r, "term") > term) follow(num(r, "term"), "");
@@ -257,6 +277,7 @@
     if (yes(r, "ok") && str(r, "id") == v.id) ayes->insert(v.addr);
   } catch (const verdict&) {
   }
+  --*left;
   s->wake();
 }
 
@@ -272,13 +293,17 @@
     if (term != t || role != part::run) co_return false;
   }
   auto ayes = std::make_shared<std::set<std::string>>();
+  auto left = std::make_shared<std::size_t>(0);  // voters that have not answered
   auto s = std::make_shared<signal>();
   ayes->insert(me.addr);
   auto ballot = tree(branch{{"op", "l.vote"}, {"term", t}, {"from", me.addr}, {"last", last()}, {"last_term", term_at(last())}, {"dry", dry}, {"go", urged}});
   for (const auto& v : panel)
-    if (v != me) home.spawn(canvass(v, ballot, ayes, s));
+    if (v != me) {
+      ++*left;
+      home.spawn(canvass(v, ballot, ayes, left, s));
+    }
   auto end = h.now() + heat;
-  while (ayes->size() < majority() && h.now() < end) {
+  while (ayes->size() < majority() && *left > 0 && h.now() < end) {
     if (dry ? term >= t : (term != t || role != part::run)) co_return false;
     auto in_time = co_await s->wait(h, end);
     if (!in_time) break;
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -88,7 +88,8 @@
   auto found() -> task<void>;
   auto run_for(bool dry) -> task<bool>;
   auto usurp() -> task<void>;
-  auto canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> yes, std::shared_ptr<signal> s) -> task<void>;
+  auto leader_gone(const std::string& addr) -> void;
+  auto canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> yes, std::shared_ptr<std::size_t> left, std::shared_ptr<signal> s) -> task<void>;
   auto feed(std::string addr, std::int64_t t) -> task<void>;
   auto send_capture(std::string addr, std::int64_t t) -> task<void>;
   auto applier() -> task<void>;
@@ -113,12 +114,13 @@
   tree base_state;
   bool founded = false;
   tick heard_lead = -never, lead_since = 0;
+  tick orphaned = -never;      // when the leader's process was last known to be dead
   std::int64_t first_own = 0;  // index of the entry that opened this leadership
   std::map<std::string, mark> marks;
   std::map<std::int64_t, std::shared_ptr<wait>> waits;
   std::set<std::string> learners;
   std::map<std::string, std::unique_ptr<colleague>> mates;
-  signal grown, agreed_more, beat_in;
+  signal grown, agreed_more, beat_in, pushed;
   bool changing = false, leaving = false, urged = false;
   nest home;
 };
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -341,7 +341,8 @@
   auto n = num(t, "number");
   auto newest = law.law ? law.law->number : 0;
   auto wait = twigs();
-  auto early = h.now() < book.since() + set.lease * 5 / 4;  // an older leader's leases may still run
+  // An older leader's leases may still run; one that was wrongly taken for dead gave some a voter's quiet longer.
+  auto early = h.now() < book.since() + set.lease * 5 / 4 + set.lose * 3 / 8;
   for (const auto& [name, g] : grants)
     if (g.until > h.now() && g.charter < n) wait.emplace_back(name);
   if (early) wait.emplace_back("(leases given under an earlier leader)");
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -18,9 +18,13 @@
   auto good = h.now();     // when this door last gave a lease
   auto sent_up = h.now();  // when it last stood
   while (!gone) {
-    if (!line) line = std::make_shared<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
+    if (!line) {
+      line = std::make_shared<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
+      line->on_turn = [this](bool) { turned.wake(); };
+      line->on_gone = [this] { turned.wake(); };
+    }
     auto sent = h.now();
-    auto wait = set.beat / 4;
+    auto failed = false;
     try {
       auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", known.vec()},
                            {"charter", serving ? serving() : known.law ? known.law->number : 0}});
@@ -40,18 +44,22 @@
       wish = w;
       if (moved || had != leased()) news.wake();
     } catch (const verdict&) {
-      wait = set.beat;
+      failed = true;
     }
     // A door that fell is left at once; one that stands but gives no lease, after a while.
-    auto fell = !line->up() && h.now() - sent_up > set.beat * 2;
+    auto fell = !line->up() && (h.now() - sent_up > set.beat * 2 || line->refused_at() > sent_up);
     if (line->up()) sent_up = h.now();
     if ((fell || h.now() - good > set.lose) && doors.size() > 1) {
       at = (at + 1) % doors.size();
+      line->on_turn = nullptr;
+      line->on_gone = nullptr;
       line->quit();
       line.reset();
       good = sent_up = h.now();
     }
-    co_await rest(h, wait);
+    if (!line) continue;
+    if (failed) co_await turned.wait(h, h.now() + set.beat);
+    else co_await rest(h, set.beat / 4);
   }
 }
 
--- a/scout/session.hpp
+++ b/scout/session.hpp
@@ -44,6 +44,7 @@
   std::int64_t least = 0, cells_need = 0;
   bool ever = false;
   twigs wish;
+  signal turned;  // the line came up, fell, or its queen is gone
   std::shared_ptr<colleague> line;  // shared: a request may outlive the choice of another door
   nest home;
 };
--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -196,7 +196,7 @@
   return std::make_unique<sim_door>(*this, addr);
 }
 
-auto sim_host::dial(std::string addr, tick until) -> task<link_ptr> {
+auto sim_host::dial(std::string addr, tick until, bool* refused) -> task<link_ptr> {
   while (true) {
     auto trip = world.wire * 2 + static_cast<tick>(world.dice() % 100);
     if (world.loss > 0 && std::uniform_real_distribution<>(0, 1)(world.dice) < world.loss) trip += sec;
@@ -212,7 +212,10 @@
     if (!there) co_return nullptr;
     if (there->on && world.open(box, *there) && world.open(*there, box)) {
       auto it = world.doors.find(addr);
-      if (it == world.doors.end()) co_return nullptr;  // refused
+      if (it == world.doors.end()) {
+        if (refused) *refused = true;
+        co_return nullptr;
+      }
       auto& far = it->second->own;
       auto a = std::make_shared<sim_link>(*this, *there);
       auto b = std::make_shared<sim_link>(far, box);
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -57,7 +57,7 @@
   [[nodiscard]] auto wall() const -> std::int64_t override;
   auto chance() -> std::uint64_t override { return dice(); }
   auto listen(const std::string& addr) -> std::unique_ptr<door> override;
-  auto dial(std::string addr, tick until) -> task<link_ptr> override;
+  auto dial(std::string addr, tick until, bool* refused = nullptr) -> task<link_ptr> override;
   auto disk() -> store* override { return db.get(); }
   bool frozen = false;
   tick busy = 0;      // its processor works until then
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -324,3 +324,70 @@
   refuses("queen-1", "L/e/0000000000000001", "x", "lacks its first record");
   refuses("queen-1", "L/meta", seal(branch{{"format", 9}, {"id", "x"}, {"term", 0}, {"voted", ""}, {"founded", false}}), "format is not 1");
 }
+TEST_GROUP(takeover){};
+namespace {
+// How long until `done` holds, at most `most`.
+auto wait_for(fleet& f, tick most, const std::function<bool()>& done) -> tick {
+  auto from = f.world.clock;
+  while (!done() && f.world.clock < from + most) f.world.run(f.world.clock + msec);
+  return f.world.clock - from;
+}
+}  // namespace
+// A closed channel and a refused dial tell of a dead process: nobody waits for silence then (design 6.5).
+TEST(takeover, a_killed_primary_is_claimed_at_once_and_a_silent_one_is_waited_for) {
+  auto id = std::string("alerts/0");
+  for (auto silent : {false, true}) {
+    auto f = fleet(41, quiet_shape());
+    CHECK(f.begin());
+    auto old = f.primary_of(id);
+    auto lose = f.all.at(old)->set.lose;
+    if (silent) f.power(f.all.at(old)->box->name, false);
+    else f.kill(old);
+    auto took = wait_for(f, 3 * sec, [&] { return !f.primary_of(id).empty(); });
+    if (silent) CHECK(took > lose * 9 / 10 && took < lose * 3 / 2);
+    else CHECK(took < 100 * msec);
+  }
+}
+// A kept cell whose second copy is killed has another before callers are told twice to come back.
+TEST(takeover, a_killed_backup_is_replaced_at_once) {
+  auto s = quiet_shape();
+  s.combs = 4;
+  s.zones = 4;
+  auto f = fleet(42, s);
+  CHECK(f.begin());
+  auto id = std::string("alerts/0");
+  auto prim = f.primary_of(id), old = f.backup_of(id);
+  f.kill(old);
+  auto took = wait_for(f, 3 * sec, [&] { return f.backup_of(id) != old; });
+  CHECK(took < 100 * msec);
+  STRCMP_EQUAL(prim.c_str(), f.primary_of(id).c_str());
+}
+// A primary whose links all fall, but whose process answers, keeps its cells.
+TEST(takeover, closed_links_of_a_living_primary_are_no_death) {
+  auto f = fleet(43, quiet_shape());
+  CHECK(f.begin());
+  auto id = std::string("alerts/0");
+  auto old = f.primary_of(id);
+  auto there = f.all.at(f.backup_of(id))->set.addr;
+  auto epoch = f.all.at(old)->c->ses.known.cells.at(id).epoch;
+  for (auto i = 0; i < 3; ++i) {
+    f.all.at(old)->c->reach(there).line->drop();
+    f.world.run(f.world.clock + 500 * msec);
+  }
+  STRCMP_EQUAL(old.c_str(), f.primary_of(id).c_str());
+  LONGS_EQUAL(epoch, f.all.at(old)->c->ses.known.cells.at(id).epoch);
+}
+// The voters' quiet protects a leader that lives: killed, it has a successor at once; silent, it is waited for (design 4.4).
+TEST(takeover, a_killed_leader_has_a_successor_at_once_and_a_silent_one_is_waited_for) {
+  for (auto silent : {false, true}) {
+    auto f = fleet(44, quiet_shape());
+    CHECK(f.begin());
+    auto old = f.leader();
+    auto quiet = f.all.at(old)->set.lose * 3 / 8;
+    if (silent) f.power(f.all.at(old)->box->name, false);
+    else f.kill(old);
+    auto took = wait_for(f, 5 * sec, [&] { return !f.leader().empty(); });
+    if (silent) CHECK(took > quiet * 3 / 4);
+    else CHECK(took < 150 * msec);
+  }
+}
--- a/wax/colleague.cpp
+++ b/wax/colleague.cpp
@@ -139,19 +139,27 @@
 auto colleague::run() -> task<void> {
   auto wait = set.beat;
   auto turn = 0;  // odd ones go over a third locality, if any stands
+  auto closed = false;  // the link that stood was closed: the next dial tells whether its process lives
   while (true) {
     auto via = std::string();
     if (set.vias && turn % 2 == 1)
       if (auto row = set.vias(); !row.empty()) via = row[h.below(row.size())];
-    auto way = co_await h.dial(via.empty() ? set.addr : via, h.now() + set.lose / 2);
+    auto refused = false;
+    auto way = co_await h.dial(via.empty() ? set.addr : via, h.now() + set.lose / 2, &refused);
     over_hop = !via.empty();
     ++turn;
+    if (refused && !over_hop) {
+      none_at = h.now();
+      if (closed && on_gone) on_gone();
+    }
+    if (refused || !way) closed = false;
     if (way) {
       if (over_hop) way->send(frame(branch{{"op", "relay"}, {"to", set.addr}}));
       auto w = std::make_shared<wire>(way);
       w->tell(branch{{"op", "hello"}, {"me", set.me}});
       line = w;
       last = h.now();
+      auto since = last;
       home.spawn(beats(w));
       // Up only after the first round trip: a one-way cut must not pass for a link.
       auto fn = [this](const tree& t) { take(t); };
@@ -159,8 +167,13 @@
       if (on) {
         wait = set.beat;
         turn = h.now() - last > set.lose ? 1 : 0;  // silent, not closed: perhaps a cut
+        closed = turn == 0 && h.now() - since > set.beat;
       }
       fall();
+      if (closed) {
+        co_await rest(h, set.beat / 16);  // a dial taken by a process on its way out is closed too: once more
+        continue;
+      }
     }
     co_await rest(h, h.spread(wait));
     wait = std::min(wait * 2, set.lose);
@@ -182,6 +195,7 @@
   last = h.now();
   if (!on) {
     on = true;
+    none_at = -never;
     if (on_turn) on_turn(true);
   }
   if (auto id = num_or(t, "r", -1); id >= 0) {
--- a/wax/colleague.hpp
+++ b/wax/colleague.hpp
@@ -62,9 +62,12 @@
   [[nodiscard]] auto up() const -> bool { return on; }
   [[nodiscard]] auto heard() const -> tick { return last; }
   [[nodiscard]] auto addr() const -> const std::string& { return set.addr; }
+  // When a straight dial last found nobody listening there, since the link last stood; -never: not so.
+  [[nodiscard]] auto refused_at() const -> tick { return none_at; }
   [[nodiscard]] auto relayed() const -> bool { return on && over_hop; }
   std::function<void(const tree&)> on_note;
   std::function<void(bool)> on_turn;  // came up or went down
+  std::function<void()> on_gone;      // its link was closed and the dial after that refused: its process is gone
   wire_ptr line;
 
  private:
@@ -80,7 +83,7 @@
   host& h;
   ways set;
   bool on = false, over_hop = false;
-  tick last = 0;
+  tick last = 0, none_at = -never;
   std::int64_t count = 0;
   std::map<std::int64_t, std::shared_ptr<slot>> open;
   nest home;
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -242,11 +242,15 @@
   return std::make_unique<ev_door>(*this, std::move(s));
 }
 
-auto evhost::dial(std::string addr, tick until) -> task<link_ptr> {
+auto evhost::dial(std::string addr, tick until, bool* refused) -> task<link_ptr> {
   auto s = fd(fresh_sock());
   auto a = to_sock(addr);
+  auto failed = [refused](int why) {
+    if (refused) *refused = why == ECONNREFUSED;
+    return link_ptr();
+  };
   if (::connect(s.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS)
-    co_return nullptr;
+    co_return failed(errno);
   auto up = signal();
   auto got = false;
   {
@@ -262,7 +266,7 @@
   auto err = 0;
   auto len = socklen_t{sizeof err};
   getsockopt(s.get(), SOL_SOCKET, SO_ERROR, &err, &len);
-  if (err) co_return nullptr;
+  if (err) co_return failed(err);
   auto l = std::make_shared<ev_link>(*this, std::move(s));
   l->from = addr;
   co_return l;
--- a/wax/evhost.hpp
+++ b/wax/evhost.hpp
@@ -19,7 +19,7 @@
   [[nodiscard]] auto wall() const -> std::int64_t override;
   auto chance() -> std::uint64_t override { return dice(); }
   auto listen(const std::string& addr) -> std::unique_ptr<door> override;
-  auto dial(std::string addr, tick until) -> task<link_ptr> override;
+  auto dial(std::string addr, tick until, bool* refused = nullptr) -> task<link_ptr> override;
   auto disk() -> store* override;
 
   // Runs until `end` was called. The signal functions run on the loop.
--- a/wax/evhost_test.cpp
+++ b/wax/evhost_test.cpp
@@ -97,3 +97,18 @@
   }
   std::filesystem::remove_all(dir);
 }
+TEST_GROUP(real_net){};
+// Where nobody listens the machine says so at once; a dial that runs out of time tells nothing.
+TEST(real_net, a_refused_dial_is_told_from_a_silent_one) {
+  auto h = evhost("");
+  auto home = nest(h);
+  auto refused = false, linked = true;
+  home.spawn([](evhost& hh, bool& none, bool& got) -> task<void> {
+    auto way = co_await hh.dial("127.0.0.1:1", hh.now() + sec, &none);
+    got = way != nullptr;
+    hh.end();
+  }(h, refused, linked));
+  h.run();
+  CHECK(refused);
+  CHECK(!linked);
+}
--- a/wax/host.hpp
+++ b/wax/host.hpp
@@ -107,7 +107,9 @@
   [[nodiscard]] virtual auto wall() const -> std::int64_t = 0;  // milliseconds since 1970
   virtual auto chance() -> std::uint64_t = 0;
   virtual auto listen(const std::string& addr) -> std::unique_ptr<door> = 0;
-  virtual auto dial(std::string addr, tick until) -> task<link_ptr> = 0;  // null if it failed
+  // Null if it failed. `refused` is then set if the machine answered that nobody listens there: the
+  // process is gone. A machine without power and a cut say nothing.
+  virtual auto dial(std::string addr, tick until, bool* refused = nullptr) -> task<link_ptr> = 0;
   virtual auto disk() -> store* = 0;  // null: this machine has none
   auto below(std::uint64_t n) -> std::uint64_t { return n ? chance() % n : 0; }
   // A span scattered around its middle, so that many do not act at once.
