--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -90,9 +90,13 @@
       throw verdict("malformed", "unknown field '" + std::string(kv.key()) + "'");
 }
 
+// Until when a request may wait for a primary that is not there: a caller that is told at once
+// asks again, and one that was held long without being served was held for nothing.
+auto forager::patience(const space& s) const -> tick { return h.now() + (s.aim_ms > 0 ? s.aim_ms * msec / 5 : set.lose * 2); }
+
 // Asks the cell's primary. While a takeover is under way it waits for the new one, as long as
 // the request can still run in its time; nothing is held back for any other reason (design 7.2).
-auto forager::ask_lead(std::string cell, tree q, tick until) -> task<tree> {
+auto forager::ask_lead(std::string cell, tree q, tick patience, tick until) -> task<tree> {
   auto back = h.spread(set.lose / 4) / msec;
   auto was = std::string();
   while (true) {
@@ -110,8 +114,8 @@
         }
       }
     }
-    auto end = std::min(until, h.now() + set.beat / 2);
-    if (h.now() >= until) throw v;
+    auto end = std::min(patience, h.now() + set.beat / 2);
+    if (h.now() >= patience) throw v;
     co_await ses.news.wait(h, end);
     if (lead_of(cell) != was || h.now() >= end) was.clear();
   }
@@ -125,7 +129,7 @@
   auto cell = cell_of(w.home, w.topic);
   auto until = h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.lose * 2);
   auto q = tree(branch{{"op", "pub"}, {"cell", cell}, {"t", w.topic}, {"d", who}, {"s", seq}, {"b", body}, {"keep", w.home.keep_ms}});
-  auto r = co_await ask_lead(cell, std::move(q), until);
+  auto r = co_await ask_lead(cell, std::move(q), patience(w.home), until);
   auto out = branch{{"verdict", "acked"}, {"topic", topic}, {"seq", seq}};
   if (const auto& p = sub(r, "pos"); p.is_int64()) out["pos"] = p;
   if (yes(r, "repeat")) out["repeat"] = true;
@@ -139,7 +143,7 @@
     auto w = judge(act::subscribe, d->name, str(t, "topic"), 0);
     auto cell = cell_of(w.home, w.topic);
     auto q = tree(branch{{"op", "count"}, {"cell", cell}, {"t", w.topic}});
-    auto r = co_await ask_lead(cell, std::move(q), h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.budget));
+    auto r = co_await ask_lead(cell, std::move(q), patience(w.home), h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.budget));
     out = branch{{"verdict", "done"}, {"count", num(r, "count")}};
   } catch (const verdict& v) {
     out = v.to_tree().as_object();
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -49,7 +49,8 @@
   auto publish(downstream_ptr d, tree t) -> task<void>;
   auto send_publish(std::string who, std::string topic, std::int64_t seq, std::string body) -> task<tree>;
   auto count_topic(downstream_ptr d, tree t) -> task<void>;
-  auto ask_lead(std::string cell, tree q, tick until) -> task<tree>;
+  auto ask_lead(std::string cell, tree q, tick patience, tick until) -> task<tree>;
+  [[nodiscard]] auto patience(const space& s) const -> tick;
   auto send_away(const downstream_ptr& d) -> void;
   auto subscribe(const downstream_ptr& d, const tree& t) -> void;
   auto finish(const std::string& sid, bool tell) -> void;
