What a turn of the loop sends on a link leaves with one system call

Cause: each frame was its own send(), also where a turn told one link of several cells or subscriptions; system calls are charged on the users' platform. Change: a real link keeps what it is sent until the turn's end (64 KiB at most), then writes once; close and the link's end write at once as before. A link whose socket is full waits for it as before.

--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -35,11 +35,12 @@
 }
 auto fresh_sock() -> int { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
+constexpr auto turn_most = std::size_t{64} << 10;  // so much does not wait for the end of the turn
 constexpr auto in_most = std::size_t{16} << 20;  // twice the largest frame
 
-class ev_link : public link {
+class ev_link : public link, public corked {
  public:
-  ev_link(evhost& h, fd s) : link(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int e) { stirred(e); }) {
+  ev_link(evhost& h, fd s) : link(h), own(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int e) { stirred(e); }) {
     auto one = 1;
     setsockopt(sock.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   }
@@ -48,9 +49,13 @@
   }
   auto send(std::string_view bytes) -> void override {
     if (shut || ending) return;
+    auto waits = !out.empty() && !is_linked();  // the socket is full: it says when it takes more
     out.append(bytes);
-    flush();
+    if (waits) return;
+    if (out.size() >= turn_most) flush();
+    else own.cork(*this);
   }
+  auto pour() -> void override { flush(); }
   auto close() -> void override {
     if (shut) return;
     ending = true;
@@ -83,7 +88,9 @@
     turn();
   }
   auto flush() -> void {
+    if (is_linked()) unlink();
     while (!out.empty()) {
+      ++own.pours;
       auto n = ::send(sock.get(), out.data(), out.size(), MSG_NOSIGNAL);
       if (n > 0) {
         out.erase(0, static_cast<std::size_t>(n));
@@ -100,7 +107,7 @@
   }
   auto turn() -> void {
     if (shut) return eye.want(0);
-    eye.want((in.size() < in_most ? EV_READ : 0) | (out.empty() ? 0 : EV_WRITE));
+    eye.want((in.size() < in_most ? EV_READ : 0) | (out.empty() || is_linked() ? 0 : EV_WRITE));
   }
   auto end() -> void {
     shut = true;
@@ -108,6 +115,7 @@
     stir.wake();
     gone.wake();
   }
+  evhost& own;
   fd sock;
   watch eye;
   std::string out;
@@ -272,11 +280,20 @@
   co_return l;
 }
 
+auto evhost::pour() -> void {
+  while (!full.empty()) {
+    auto& one = full.front();
+    full.pop_front();
+    one.pour();
+  }
+}
+
 auto evhost::run() -> void {
   while (!over) {
     auto work = 0;
     while (work < 512 && !over && step()) ++work;
     if (over) break;
+    pour();
     auto at = next();
     auto wait = at >= never ? 3600.0 : std::max<double>(0, static_cast<double>(at - now()) / sec);
     ev_timer_stop(base, &own->clock);
--- a/wax/evhost_test.cpp
+++ b/wax/evhost_test.cpp
@@ -112,3 +112,43 @@
   CHECK(refused);
   CHECK(!linked);
 }
+// Frames of one turn leave together, in order; what is owed at the end of a link still goes out.
+TEST(real_net, what_is_sent_in_one_turn_goes_out_at_once) {
+  auto h = evhost("");
+  auto home = nest(h);
+  auto got = std::string();
+  auto calls = std::uint64_t{0};
+  auto addr = std::string();
+  auto d = std::unique_ptr<door>();
+  for (auto port = 24100; !d && port < 24200; ++port) {
+    addr = "127.0.0.1:" + std::to_string(port);
+    try {
+      d = h.listen(addr);
+    } catch (const verdict&) {
+    }
+  }
+  CHECK(d != nullptr);
+  home.spawn([](evhost& hh, std::string to, std::uint64_t& n) -> task<void> {
+    auto way = co_await hh.dial(to, hh.now() + sec);
+    if (!way) co_return hh.end();
+    for (auto i = 0; i < 100; ++i) way->send(std::to_string(i % 10));
+    co_await rest(hh, 20 * msec);
+    n = hh.pours;
+    way->send("x");
+    way->close();
+  }(h, addr, calls));
+  home.spawn([](evhost& hh, door& at, std::string& all) -> task<void> {
+    auto way = co_await at.knocks.pop(hh);
+    for (auto live = true; live; live = co_await way->more(hh.now() + sec)) {
+      all += way->in;
+      way->in.clear();
+    }
+    all += way->in;
+    hh.end();
+  }(h, *d, got));
+  h.run();
+  LONGS_EQUAL(1, calls);
+  LONGS_EQUAL(101, got.size());
+  STRCMP_EQUAL("012345678", got.substr(0, 9).c_str());
+  STRCMP_EQUAL("x", got.substr(100).c_str());
+}
