Callers are told unclear once the second copy has been still for three beats

Change: a kept cell with outputs waiting for a copy that acked nothing for three beats answers unclear at once; the entries stay, a repeat is acked when they are safe.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -236,7 +236,8 @@
     case standing::below:
       return refuse({"below", "a higher sequence number was accepted already", ran::no});
     case standing::repeat:
-      if (auto it = waits.find(k); it != waits.end()) it->second.push_back(s);
+      if (doubtful()) refuse({"unclear", "accepted here, the second copy does not answer: send it again", ran::maybe, again});
+      else if (auto it = waits.find(k); it != waits.end()) it->second.push_back(s);
       else if (applied > safe() && kept() && (row.back.empty() || !in_touch(row.back)))
         refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, again});
       else {
@@ -276,6 +277,16 @@
   if (const auto& keep = sub(t, "keep"); keep.is_int64()) e["keep"] = keep;
   ops.emplace_back(std::move(e));
   operate(std::move(ops));
+  if (doubtful()) give_up("the second copy does not answer");
+}
+
+// Something waits for the second copy, and that has been still for three beats, in each of which it acks
+// at least once: nobody is kept waiting for what may not come. The entries stay; a repeat is acked
+// as soon as they are safe.
+auto cell::doubtful() const -> bool {
+  if (row.back.empty() || !kept() || safe() >= last()) return false;
+  auto it = mates.find(row.back);
+  return it != mates.end() && h.now() - it->second.heard > g.set.beat * 3;
 }
 
 auto cell::subscribe(const tree& t, const wire_ptr& w) -> void {
@@ -848,7 +859,7 @@
     return s ? g.ses.known.leaves(*s) : g.ses.known.leavings.count(name_of(m)) > 0;
   };
   auto lost_back = !row.back.empty() && !in_touch(row.back) && h.now() - mates[row.back].heard > g.set.lose;
-  if (lost_back && !waits.empty()) give_up("the second copy is out of reach");
+  if ((lost_back || doubtful()) && !waits.empty()) give_up("the second copy is out of reach");
   if (lost_back && !kept() && row.step.size() > 1) {
     auto next = row;
     next.back.clear();
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -94,6 +94,7 @@
   [[nodiscard]] auto key(std::int64_t i) const -> std::string;
   [[nodiscard]] auto safe() const -> std::int64_t;  // up to here outputs may go out
   [[nodiscard]] auto lag_of(const mate& k) const -> tick;  // real-time lag of its replay
+  [[nodiscard]] auto doubtful() const -> bool;  // is an output waiting for a copy that does not answer?
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
   auto load() -> void;
   auto save() -> void;  // a capture to disk; entries before it go
