--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -1,6 +1,9 @@
 #include "swarm/air.hpp"
 
+#include <time.h>
+
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 #include "wax/verdict.hpp"
@@ -24,6 +27,7 @@
     out.append(bytes);
     ++own.world.sends;
     own.world.bytes += bytes.size();
+    ++sends;
     pump();
   }
   auto close() -> void override {
@@ -71,6 +75,13 @@
     auto bytes = std::make_shared<std::string>(out.substr(0, n));
     out.erase(0, n);
     flying += n;
+    // A frame counts with its last byte.
+    auto whole = out.empty() ? std::exchange(sends, 0) : std::uint64_t{0};
+    auto& d = own.done;
+    auto here = &own.box == &far;
+    (here ? d.near_frames : d.frames_out) += whole;
+    (here ? d.near_bytes : d.bytes_out) += n;
+    flying_sends += whole;
     auto& w = own.world;
     auto delay = w.wire + static_cast<tick>(w.dice() % 100);
     while (w.loss > 0 && std::uniform_real_distribution<>(0, 1)(w.dice) < w.loss) delay += again;
@@ -112,7 +123,14 @@
         }
         return fly(w, a, b, from, to, bytes, w->clock + again, since);
       }
-      p->in += *bytes;
+      {
+        auto charged = heap_scope(w->metered ? p->own.heap : nullptr);
+        p->in += *bytes;
+      }
+      auto whole = m ? std::exchange(m->flying_sends, 0) : std::uint64_t{0};
+      auto& d = p->own.done;
+      (a == b ? d.near_frames : d.frames_in) += whole;
+      (a == b ? d.near_bytes : d.bytes_in) += bytes->size();
       p->flying_in = false;
       p->stir.wake();
       if (!m) return;
@@ -128,6 +146,7 @@
   machine& far;
   std::string out;
   std::size_t flying = 0;
+  std::uint64_t sends = 0, flying_sends = 0;
   bool moving = false, ended = false, said = false, flying_in = false;
 };
 
@@ -176,19 +195,32 @@
 };
 
 hold::~hold() {
-  if (grip && own.held == grip) own.held = nullptr;
+  if (grip && own.held == grip) {
+    own.held = nullptr;
+    own.touch();
+  }
 }
 auto hold::await_suspend(std::coroutine_handle<> g) -> void {
   grip = g;
   own.held = g;
   own.held_until = when;
+  own.touch();
 }
 
-sim_host::sim_host(air& a, machine& m, bool disk, std::uint64_t seed) : world(a), box(m), dice(seed) {
+sim_host::sim_host(air& a, machine& m, bool disk, std::uint64_t seed) : world(a), box(m), dice(seed), order(++a.births) {
   if (disk) db = std::make_unique<sim_store>(*this);
-  world.hosts.push_back(this);
+  touch();
+}
+sim_host::~sim_host() {
+  db.reset();
+  world.leave(*this);
 }
-sim_host::~sim_host() { std::erase(world.hosts, this); }
+auto open_account() -> std::int64_t* {
+  // Never ended: what other statics hold is freed after this one would be.
+  static auto& accounts = *std::make_unique<std::deque<std::int64_t>>().release();
+  return &accounts.emplace_back(0);
+}
+auto sim_host::on_touch() -> void { world.stirred.push_back(this); }
 auto sim_host::now() const -> tick { return world.clock; }
 auto sim_host::wall() const -> std::int64_t { return 1700000000000 + world.clock / msec; }
 auto sim_host::listen(const std::string& addr) -> std::unique_ptr<door> {
@@ -250,7 +282,7 @@
 
 auto air::open(const machine& from, const machine& to) const -> bool {
   if (!from.on || !to.on) return false;
-  if (&from == &to) return true;
+  if (&from == &to || cuts.empty()) return true;
   for (const auto& a : {from.name, from.zone, std::string("*")})
     for (const auto& b : {to.name, to.zone, std::string("*")}) {
       if (!cuts.count({a, b})) continue;
@@ -265,18 +297,40 @@
   if (auto it = cuts.find({from, to}); it != cuts.end()) cuts.erase(it);  // another cut of the same path may still stand
 }
 
+auto air::enter(sim_host& h) -> void {
+  auto at = h.due();
+  if (at == h.key) return;
+  if (h.key < never) agenda.erase({h.key, h.order, &h});
+  h.key = at;
+  if (at < never) agenda.insert({at, h.order, &h});
+}
+auto air::leave(sim_host& h) -> void {
+  agenda.erase({h.key, h.order, &h});
+  std::erase(stirred, &h);
+  if (running == &h) running = nullptr;
+}
+
+namespace {
+auto processor() -> std::int64_t {
+  auto t = timespec();
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+  return t.tv_sec * std::int64_t{1000000000} + t.tv_nsec;
+}
+}  // namespace
+
 auto air::run(tick end) -> void {
   stop = false;
   while (!stop) {
     auto at = events.empty() ? never : events.begin()->first;
+    for (auto* h : stirred) {
+      h->touched = false;
+      enter(*h);
+    }
+    stirred.clear();
     auto* who = static_cast<sim_host*>(nullptr);
-    for (auto* h : hosts) {
-      if (h->frozen) continue;
-      auto n = h->held ? h->held_until : std::max(h->next(), h->busy);
-      if (n < at) {
-        at = n;
-        who = h;
-      }
+    if (!agenda.empty() && std::get<0>(*agenda.begin()) < at) {
+      at = std::get<0>(*agenda.begin());
+      who = std::get<2>(*agenda.begin());
     }
     if (at > end || at >= never) break;
     clock = std::max(clock, at);
@@ -287,16 +341,24 @@
       continue;
     }
     if (who->cost > 1 && clock > who->busy) ++wakes;
+    running = who;
+    auto charged = heap_scope(metered ? who->heap : nullptr);
+    auto from = metered ? processor() : 0;
     auto work = static_cast<tick>(static_cast<double>(who->cost) * who->box.slow);
     if (who->held) {
       who->busy = clock;
       std::exchange(who->held, nullptr).resume();
-      if (stop || std::find(hosts.begin(), hosts.end(), who) == hosts.end()) continue;
+      if (stop || running != who) continue;
     }
     for (auto i = 0; i < 64 && !who->held && who->step(); ++i) {
       ++steps;
+      ++who->done.resumes;
       who->busy = std::max(who->busy, clock) + work;
-      if (stop || std::find(hosts.begin(), hosts.end(), who) == hosts.end()) break;
+      if (stop || running != who) break;
+    }
+    if (running == who) {
+      if (metered) who->done.nsec += processor() - from;
+      who->touch();  // it has been busy
     }
   }
   clock = std::max(clock, end);
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -1,5 +1,6 @@
 // The simulated fleet's machines, net and disks, all on one simulated clock (design 9.1).
 #pragma once
+#include <algorithm>
 #include <coroutine>
 #include <functional>
 #include <map>
@@ -7,8 +8,10 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
+#include "swarm/heap.hpp"
 #include "wax/host.hpp"
 
 namespace hive {
@@ -31,6 +34,16 @@
 
 class sim_host;
 
+// What one process has done, counted at its streams and its steps (docs/CAPACITY.md).
+// `near` is what stays inside its machine; what was sent to a peer that vanished counts as sent only.
+struct counters {
+  std::uint64_t frames_out = 0, frames_in = 0;  // sends to other machines; over our own links a send is a frame
+  std::uint64_t bytes_out = 0, bytes_in = 0;
+  std::uint64_t near_frames = 0, near_bytes = 0;  // out and in together
+  std::uint64_t resumes = 0;                      // of coroutines
+  std::int64_t nsec = 0;                          // this machine's processor, where the air is metered
+};
+
 // A sync that holds the whole process: nothing else of it runs until the disk has
 // answered, and then the one that asked runs first.
 class hold {
@@ -59,7 +72,15 @@
   auto listen(const std::string& addr) -> std::unique_ptr<door> override;
   auto dial(std::string addr, tick until, bool* refused = nullptr) -> task<link_ptr> override;
   auto disk() -> store* override { return db.get(); }
+  auto freeze(bool on) -> void {
+    frozen = on;
+    touch();
+  }
+  // When it next runs, or `never`.
+  [[nodiscard]] auto due() const -> tick { return frozen ? never : held ? held_until : std::max(next(), busy); }
   bool frozen = false;
+  counters done;
+  std::int64_t* const heap = open_account();
   tick busy = 0;      // its processor works until then
   std::coroutine_handle<> held;  // what waits for the disk, if anything does
   tick held_until = 0;
@@ -68,8 +89,14 @@
   machine& box;
   std::mt19937_64 dice;
 
+ protected:
+  auto on_touch() -> void override;
+
  private:
+  friend class air;
   std::unique_ptr<store> db;
+  std::uint64_t order;   // of its start: which runs first of those due at once
+  tick key = never;      // under which it stands in the air's agenda
 };
 
 class air {
@@ -93,11 +120,17 @@
   std::uint64_t sends = 0, bytes = 0, syncs = 0, wakes = 0;
   std::map<std::string, std::unique_ptr<machine>> machines;
   std::map<std::string, sim_door*> doors;   // by address
-  std::set<sim_host*> hosts_set;
-  std::vector<sim_host*> hosts;             // in order of their start
   bool stop = false;
+  bool metered = false;                     // measures the processor time of each step
 
  private:
+  friend class sim_host;
+  auto enter(sim_host& h) -> void;  // into the agenda, at the time it is due now
+  auto leave(sim_host& h) -> void;
+  std::set<std::tuple<tick, std::uint64_t, sim_host*>> agenda;  // by when they are due, then by start
+  std::vector<sim_host*> stirred;           // those whose due time may have changed
+  sim_host* running = nullptr;
+  std::uint64_t births = 0;
   std::multiset<std::pair<std::string, std::string>> cuts;
   std::multimap<tick, std::function<void()>> events;
 };
--- /dev/null
+++ b/swarm/capacity.hpp
@@ -0,0 +1,71 @@
+// Fleets of hollow nodes on simulated time: what each role costs, counted, and
+// how that grows (docs/CAPACITY.md).
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wax/loop.hpp"
+#include "wax/tree.hpp"
+
+namespace hive {
+
+// A fleet and what it is given to do. A node is a machine: three queens, a quarter
+// of the others combs, the rest foragers with their scouts.
+struct load {
+  std::int64_t nodes = 25;
+  std::int64_t cells = 48;
+  std::int64_t rate = 0;       // messages published a second, all callers together
+  std::int64_t listeners = 0;  // callers that subscribe, each to one of `topics`
+  [[nodiscard]] auto combs() const -> std::int64_t;
+  [[nodiscard]] auto foragers() const -> std::int64_t;
+};
+constexpr auto load_topics = std::int64_t{16};
+
+// Throws verdict("shape") that names what is out of its range, or a fleet that would
+// want more than half of a machine with so many bytes of memory.
+auto check(const load& l, std::int64_t machine) -> void;
+// Bytes a simulated fleet takes at most, by what the runs took (docs/CAPACITY.md).
+auto memory_of(const load& l) -> std::int64_t;
+auto machine_memory() -> std::int64_t;
+
+// By name: frames_out, frames_in, bytes_out, bytes_in (to and from other machines), near_frames,
+// near_bytes (inside the machine), resumes (of coroutines), cpu_us: a second and process. timers, heap_bytes, pull_bytes
+// (all that a new node would pull), disk_bytes: standing at the end.
+using figures = std::map<std::string, double>;
+struct reading {
+  load at;
+  std::map<std::string, figures> roles;  // of one process on average; "node": a scout and its forager
+  std::map<std::string, std::int64_t> processes;
+  figures fleet;  // messages, deliveries a second; bytes that a charter or a lost member costs each scout
+};
+// Throws verdict if the fleet does not come to rest.
+auto measure(const load& l, std::uint64_t seed, tick span) -> reading;
+
+// A polynomial by least squares. `miss` is the largest distance from it, as a share of the largest value.
+struct curve {
+  std::vector<double> terms;
+  double miss = 0;
+  [[nodiscard]] auto at(double x) const -> double;
+};
+auto fit(const std::vector<std::pair<double, double>>& points, std::size_t degree) -> curve;
+// A straight line, or a parabola where the line misses by over a tenth and the growth is faster than it.
+auto fit_growth(const std::vector<std::pair<double, double>>& points) -> curve;
+
+struct sweeps {
+  std::vector<std::int64_t> nodes, cells, rates, listeners;
+  tick span = 2 * sec;
+  std::uint64_t seed = 1;
+};
+struct survey {
+  std::vector<reading> nodes, cells, rates, listeners;
+};
+auto run_sweeps(const sweeps& s) -> survey;
+// Tables of what was counted, its slopes, and what they come to at the size aimed at.
+auto to_text(const survey& s) -> std::string;
+auto to_tree(const survey& s) -> tree;
+// How frames and bytes for each node and second grow from the first fleet of a survey to its last.
+auto growth(const survey& s) -> figures;
+
+}  // namespace hive
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -102,6 +102,7 @@
   if (p.up() || !p.box->on) return;
   auto disk = p.kind == "queen" || p.kind == "comb";
   p.h = std::make_unique<sim_host>(world, *p.box, disk, seed * 1000003 + ++births);
+  auto charged = heap_scope(world.metered ? p.h->heap : nullptr);
   if (p.kind == "queen") p.q = std::make_unique<queen>(*p.h, p.set);
   if (p.kind == "comb") p.c = std::make_unique<comb>(*p.h, p.set);
   if (p.kind == "scout") p.s = std::make_unique<scout>(*p.h, p.set);
@@ -143,7 +144,7 @@
 }
 
 auto fleet::freeze(const std::string& name, bool on) -> void {
-  if (auto& p = *all.at(name); p.up()) p.h->frozen = on;
+  if (auto& p = *all.at(name); p.up()) p.h->freeze(on);
 }
 
 auto fleet::power(const std::string& where, bool on) -> void {
--- a/swarm/main.cpp
+++ b/swarm/main.cpp
@@ -1,20 +1,87 @@
 // Runs scenario files under seeds on simulated time: swarm [--seeds A-B] [--log] FILE...
+// Or measures hollow fleets: swarm --fleet N[,N...] (docs/CAPACITY.md).
 #include <popt.h>
 
+#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <memory>
 #include <sstream>
 
 #include "meadow/judge.hpp"
+#include "swarm/capacity.hpp"
 #include "swarm/scene.hpp"
 #include "wax/ring.hpp"
 
+namespace {
+
+// Whole numbers with commas between; throws verdict naming what is none.
+auto whole_list(const char* what, const char* given) -> std::vector<std::int64_t> {
+  auto out = std::vector<std::int64_t>();
+  if (!given) return out;
+  auto in = std::istringstream(std::string(given) + ",");
+  for (auto t = std::string(); std::getline(in, t, ',');) {
+    auto v = std::int64_t{0};
+    auto [end, ec] = std::from_chars(t.data(), t.data() + t.size(), v);
+    if (ec != std::errc() || end != t.data() + t.size()) throw hive::verdict("shape", std::string(what) + ": '" + t + "' is no whole number");
+    out.push_back(v);
+  }
+  return out;
+}
+
+auto survey_fleets(const char* nodes, const char* cells, const char* rates, const char* listeners, const char* seed, double span, const char* most, const char* json) -> int {
+  auto got = hive::survey();
+  auto frames = 0.0, bytes = 0.0;
+  try {
+    auto s = hive::sweeps();
+    s.nodes = whole_list("fleet", nodes);
+    s.cells = whole_list("cells", cells);
+    s.rates = whole_list("rate", rates);
+    s.listeners = whole_list("listeners", listeners);
+    if (seed) s.seed = static_cast<std::uint64_t>(whole_list("seeds", seed)[0]);
+    if (!(span >= 0.5 && span <= 600)) throw hive::verdict("shape", "span: " + std::to_string(span) + " is outside 0.5 to 600 seconds");
+    s.span = static_cast<hive::tick>(span * hive::sec);
+    if (most) {
+      auto end = static_cast<char*>(nullptr);
+      frames = std::strtod(most, &end);
+      if (*end == ',') bytes = std::strtod(end + 1, &end);
+      if (*end || !(frames > 0) || !(bytes > 0)) throw hive::verdict("shape", std::string("growth: '") + most + "' is not two numbers over 0 with a comma between");
+      if (s.nodes.size() < 2) throw hive::verdict("shape", "growth: wants two fleets to compare");
+    }
+    got = hive::run_sweeps(s);
+  } catch (const hive::verdict& v) {
+    std::cerr << v.why << '\n';
+    return v.code == "shape" ? 2 : 1;
+  }
+  std::cout << hive::to_text(got);
+  if (json) {
+    auto out = std::ofstream(json);
+    out << hive::text(hive::to_tree(got)) << '\n';
+    if (!out.flush()) {
+      std::cerr << "json: " << json << " cannot be written\n";
+      return 1;
+    }
+  }
+  if (!most) return 0;
+  auto g = hive::growth(got);
+  auto ok = g["frames"] <= frames && g["bytes"] <= bytes;
+  std::cout << (ok ? "ok" : "FAIL") << ": frames x" << g["frames"] << " (at most " << frames << "), bytes x" << g["bytes"] << " (at most " << bytes << ") for each node and second\n";
+  return ok ? 0 : 1;
+}
+
+}  // namespace
+
 auto main(int argc, const char** argv) -> int {
   auto* seeds = static_cast<char*>(nullptr);
   auto* seen = static_cast<char*>(nullptr);
   auto* over = static_cast<char*>(nullptr);
-  auto look = 0.0;
+  auto* fleets = static_cast<char*>(nullptr);
+  auto* cells = static_cast<char*>(nullptr);
+  auto* rates = static_cast<char*>(nullptr);
+  auto* listeners = static_cast<char*>(nullptr);
+  auto* growth = static_cast<char*>(nullptr);
+  auto* json = static_cast<char*>(nullptr);
+  auto look = 0.0, span = 2.0;
   auto show = 0, small = 0, draw = 0;
   poptOption opts[] = {{"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, one number or A-B; by default those the file names", "A-B"},
                        {"log", 'l', POPT_ARG_NONE, &show, 0, "print the ring of a failing run", nullptr},
@@ -23,6 +90,13 @@
                        {"draw", 0, POPT_ARG_NONE, &draw, 0, "print the scenario with the faults that the first seed draws", nullptr},
                        {"set", 0, POPT_ARG_STRING, &over, 0, "settings laid over the scenario's", "KEY=VALUE,..."},
                        {"history", 'o', POPT_ARG_STRING, &seen, 0, "write what was seen to a file", "FILE"},
+                       {"fleet", 0, POPT_ARG_STRING, &fleets, 0, "no scenario: measure idle fleets of so many hollow nodes", "N[,N...]"},
+                       {"cells", 0, POPT_ARG_STRING, &cells, 0, "their cells (48); the smallest fleet with each of several", "N[,N...]"},
+                       {"rate", 0, POPT_ARG_STRING, &rates, 0, "the smallest fleet also with so many messages a second", "N[,N...]"},
+                       {"listeners", 0, POPT_ARG_STRING, &listeners, 0, "the smallest fleet also with so many listeners, at the first rate", "N[,N...]"},
+                       {"span", 0, POPT_ARG_DOUBLE, &span, 0, "simulated time counted of each fleet (2)", "SECONDS"},
+                       {"json", 0, POPT_ARG_STRING, &json, 0, "write the fleets' figures and slopes as JSON too", "FILE"},
+                       {"growth", 0, POPT_ARG_STRING, &growth, 0, "exit 1 if frames or bytes for each node grow by more from the first fleet to the last", "FRAMES,BYTES"},
                        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
                        {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
   auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
@@ -33,7 +107,9 @@
   }
   using words = std::unique_ptr<char, decltype(&free)>;
   auto held_seeds = words(seeds, &free), held_seen = words(seen, &free), held_over = words(over, &free);
+  auto held_fleets = words(fleets, &free), held_cells = words(cells, &free), held_rates = words(rates, &free), held_listeners = words(listeners, &free), held_growth = words(growth, &free), held_json = words(json, &free);
   hive::ring_setup(20000, "", false);
+  if (fleets) return survey_fleets(fleets, cells, rates, listeners, seeds, span, growth, json);
   auto failed = 0, ran = 0;
   while (const auto* file = poptGetArg(ctx.get())) {
     try {
--- a/wax/loop.hpp
+++ b/wax/loop.hpp
@@ -62,6 +62,18 @@
     if (!ready.empty()) return now();
     return alarms.empty() ? never : alarms.begin()->first;
   }
+  [[nodiscard]] auto timers() const -> std::size_t { return alarms.size(); }
+  // When this loop next has something to do may have changed. The first touch
+  // since `touched` was cleared calls `on_touch`; a loop of its own never clears it.
+  auto touch() -> void {
+    if (touched) return;
+    touched = true;
+    on_touch();
+  }
+
+ protected:
+  bool touched = false;
+  virtual auto on_touch() -> void {}
 
  private:
   friend class waker;
@@ -74,17 +86,22 @@
 
 inline auto waker::arm(tick at) -> void {
   disarm();
-  if (at < never) slot = hub.alarms.emplace(at, this);
+  if (at >= never) return;
+  slot = hub.alarms.emplace(at, this);
+  hub.touch();
 }
 inline auto waker::disarm() -> void {
-  if (slot) hub.alarms.erase(*slot);
+  if (!slot) return;
+  hub.alarms.erase(*slot);
   slot.reset();
+  hub.touch();
 }
 inline auto waker::wake(bool by_time) -> void {
   disarm();
   if (is_linked()) unlink();
   late = by_time;
   hub.ready.push_back(*this);
+  hub.touch();
 }
 
 // Waits until a point in time.
