Voters follow the machines that stand; nodes learn of queens from the ledger

Cause: a queen was known by the seeds alone. One at a new address entered as one more voter beside the lost one, so that two replacements stopped the ledger; sessions and swaps never left the seed list; a voter whose seat was given away waited for ever. Change: who comes takes the seat of a silent voter, silence alone removes one where three stay, a voter without a seat enters again, and no change is begun before the leader has an entry of its own term agreed. The voters' list goes with the pulls and is used beside the seeds. The state of voters and a change under way are shown by /v1/voters and apiary voters.

--- a/apiary/main.cpp
+++ b/apiary/main.cpp
@@ -37,6 +37,7 @@
   leavings            who leaves, what is left there
   members             who has a session, and at which queen
   cells               who holds each cell, at which epoch
+  voters              who votes in the ledger, how each is, and whether a change is under way
   status              what the node at --at says of itself
   ring                the log ring of the node at --at
 
@@ -65,6 +66,7 @@
     if (cmd == "members") co_return co_await show("GET", "/v1/members", "");
     if (cmd == "cells") co_return co_await show("GET", "/v1/cells", "");
     if (cmd == "leavings") co_return co_await show("GET", "/v1/leave", "");
+    if (cmd == "voters") co_return co_await show("GET", "/v1/voters", "");
     if (cmd == "status") co_return co_await show("GET", "/status", "");
     if (cmd == "ring") co_return co_await show("GET", "/ring", "");
     if (cmd == "stay") {
@@ -188,7 +190,7 @@
   job.json = json != 0;
   job.dry = dry != 0;
   const auto commands = std::map<std::string, std::size_t>{{"check", 1}, {"put", 1}, {"charter", 0}, {"held", 1}, {"leave", 1}, {"stay", 1}, {"refound", 1},
-                                                           {"leavings", 0}, {"members", 0}, {"cells", 0}, {"status", 0}, {"ring", 0}};
+                                                           {"leavings", 0}, {"members", 0}, {"cells", 0}, {"voters", 0}, {"status", 0}, {"ring", 0}};
   if (job.words.empty()) return bad("no command");
   auto it = commands.find(job.words[0]);
   if (it == commands.end()) return bad("'" + job.words[0] + "' is no command");
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -9,6 +9,7 @@
 
 constexpr auto rows_most = std::size_t{64};   // entries in one append
 constexpr auto keep_rows = std::int64_t{512};  // entries kept behind a capture
+constexpr auto seats_least = std::size_t{3};   // voters that silence alone does not bring below
 
 auto slot(std::int64_t i) -> std::string {
   char buf[32];
@@ -212,6 +213,32 @@
   return all[majority() - 1];
 }
 
+auto ledger::seated(const std::string& addr) const -> bool {
+  return std::any_of(panel.begin(), panel.end(), [&](auto& v) { return v.addr == addr; });
+}
+
+auto ledger::peers() const -> std::vector<std::string> {
+  auto out = std::vector<std::string>();
+  auto add = [&](const std::string& a) {
+    if (a != me.addr && std::find(out.begin(), out.end(), a) == out.end()) out.push_back(a);
+  };
+  for (const auto& v : panel) add(v.addr);
+  for (const auto& s : set.seeds) add(s);
+  return out;
+}
+
+auto ledger::silent(tick span) const -> std::vector<voter> {
+  auto out = std::vector<std::pair<tick, voter>>();
+  for (const auto& v : panel) {
+    auto it = marks.find(v.addr);
+    if (v != me && it != marks.end() && h.now() - it->second.heard > span) out.emplace_back(it->second.heard, v);
+  }
+  std::sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.first < b.first; });
+  auto row = std::vector<voter>();
+  for (auto& [at, v] : out) row.push_back(std::move(v));
+  return row;
+}
+
 auto ledger::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
   if (!c) {
@@ -240,15 +267,21 @@
 // The one clock of the ledger: founding, elections, and a leader that lost its majority.
 auto ledger::clock() -> task<void> {
   co_await disk.sync();
-  while (!may_vote()) co_await found();
   while (true) {
+    if (!may_vote()) {
+      co_await found();
+      continue;
+    }
     if (role == part::lead) {
       co_await rest(h, set.beat);
       if (role == part::lead && h.now() - quorum_at() > heat) {
         hive::log(grade::warn, set.name, "a majority is out of reach");
         follow(term, "");
         heard_lead = h.now();
+        continue;
       }
+      // One gone for good must not count in every majority; none goes by silence alone where few are left.
+      if (auto row = silent(set.lose * 5); settled() && !changing && panel.size() > seats_least && !row.empty()) home.spawn(unseat(row.front(), "has been silent for long"));
       continue;
     }
     auto due = std::max(heard_lead, h.now() - heat) + heat + static_cast<tick>(h.below(static_cast<std::uint64_t>(heat)));
@@ -263,6 +296,8 @@
     if (!may_vote() || leaving || role == part::run) continue;
     if (!lead.empty()) follow(term, "");
     auto won = co_await run_for(true);
+    // Perhaps its seat was given away while it was not there.
+    if (!won && !entering && h.now() - heard_lead > set.lose * 2) home.spawn(enter_again());
     if (!won || h.now() - heard_lead < heat) continue;
     won = co_await run_for(false);
     if (won) take_lead();
@@ -422,26 +457,29 @@
     co_return co_await ask_leader(t, h.now() + set.lose);
   }
   if (changing) throw verdict("busy", "another voter is being changed", ran::no, set.lose / msec);
+  // Before an entry of its own term is agreed, voters of an earlier change may not be known here.
+  if (!settled()) throw verdict("busy", "the leader is not settled yet", ran::no, set.beat / msec);
   changing = true;
   auto mine = term;
   try {
-    auto next = std::vector<voter>();
-    for (const auto& v : panel)
-      if (v.addr != who.addr) next.push_back(v);
     if (std::find(panel.begin(), panel.end(), who) == panel.end()) {
-      if (next.size() < panel.size()) {
-        hive::log(grade::warn, set.name, "voter " + who.addr + " has another disk; its old seat is removed");
-        marks.erase(who.addr);
-        auto d = tree(branch{{"panel", to_tree(next)}});
-        co_await propose(std::move(d), h.now() + set.lose);
+      auto back = seated(who.addr);
+      if (back) {
+        auto old = *std::find_if(panel.begin(), panel.end(), [&](auto& v) { return v.addr == who.addr; });
+        co_await unseat(old, "has another disk");
       }
       if (role == part::lead && term == mine && learners.insert(who.addr).second) home.spawn(feed(who.addr, term));
       auto end = h.now() + set.lose * 4;
       while (role == part::lead && term == mine && h.now() < end && (marks[who.addr].match < agreed)) co_await rest(h, set.beat);
       if (role != part::lead || term != mine || marks[who.addr].match < agreed) throw verdict("unclear", "the new voter did not catch up", ran::maybe, set.lose / msec);
+      // Who comes takes the place of one that is lost, wherever that one stood: nobody waits for it.
+      if (auto row = silent(set.lose * 2); !back && !row.empty()) co_await unseat(row.front(), "is silent while another comes");
+      if (role != part::lead || term != mine) throw verdict("unclear", "the lead has changed", ran::maybe, set.lose / msec);
+      auto next = panel;
       next.push_back(who);
       auto d = tree(branch{{"panel", to_tree(next)}});
       co_await propose(std::move(d), h.now() + set.lose);
+      learners.erase(who.addr);
       hive::log(grade::note, set.name, "voter " + who.addr + " seated");
     }
   } catch (...) {
@@ -452,16 +490,61 @@
   co_return branch{{"ok", true}};
 }
 
+// Takes a voter off the list; whoever calls keeps other changes away meanwhile, or there is none.
+auto ledger::unseat(voter v, const char* why) -> task<void> {
+  auto own = !changing;
+  auto mine = term;
+  changing = true;
+  hive::log(grade::warn, set.name, "voter " + v.addr + " " + why + "; its seat is removed");
+  auto next = std::vector<voter>();
+  for (const auto& one : panel)
+    if (one != v) next.push_back(one);
+  try {
+    auto d = tree(branch{{"panel", to_tree(next)}});
+    co_await propose(std::move(d), h.now() + set.lose);
+    marks.erase(v.addr);
+  } catch (const verdict& e) {
+    if (!own) throw;
+    hive::log(grade::note, set.name, "voter " + v.addr + ": " + e.what());
+  }
+  if (own && term == mine) changing = false;
+}
+
+auto ledger::enter(std::string via) -> task<void> {
+  try {
+    auto q = tree(branch{{"op", "l.enter"}, {"addr", me.addr}, {"id", me.id}});
+    co_await reach(via).ask(std::move(q), h.now() + set.lose * 6);
+  } catch (const verdict& v) {
+    hive::log(grade::note, set.name, std::string("not yet a voter: ") + v.what());
+  }
+}
+
+// One that thinks itself a voter but hears no leader: the others may have gone on without it.
+auto ledger::enter_again() -> task<void> {
+  entering = true;
+  auto via = std::string();
+  for (const auto& s : peers()) {
+    try {
+      auto q = tree(branch{{"op", "l.who"}, {"addr", me.addr}, {"id", me.id}});
+      auto r = co_await reach(s).ask(std::move(q), h.now() + set.budget);
+      if (str(r, "lead").empty() || yes(r, "mate")) continue;
+      via = s;
+      break;
+    } catch (const verdict&) {
+    }
+  }
+  if (!via.empty()) co_await enter(via);
+  entering = false;
+}
+
 // A blank disk: founds the ledger if it may and all seeds are blank, else re-enters.
 auto ledger::found() -> task<void> {
   auto seen = std::vector<voter>();
   auto blank = true;
   auto via = std::string();
-  for (const auto& s : set.seeds) {
-    if (s == me.addr) {
-      seen.push_back(me);
-      continue;
-    }
+  auto seed = std::find(set.seeds.begin(), set.seeds.end(), me.addr) != set.seeds.end();
+  if (seed) seen.push_back(me);
+  for (const auto& s : peers()) {
     try {
       auto q = tree(branch{{"op", "l.who"}});
       auto r = co_await reach(s).ask(std::move(q), h.now() + set.budget);
@@ -474,7 +557,6 @@
     } catch (const verdict&) {
     }
   }
-  auto seed = std::find(set.seeds.begin(), set.seeds.end(), me.addr) != set.seeds.end();
   if (!founded && set.found && blank && seed && seen.size() == set.seeds.size()) {
     base_panel = seen;
     founded = true;
@@ -484,14 +566,9 @@
     co_await disk.sync();
     hive::log(grade::note, set.name, "the ledger is founded");
   } else if (!blank) {
-    try {
-      auto q = tree(branch{{"op", "l.enter"}, {"addr", me.addr}, {"id", me.id}});
-      co_await reach(via).ask(std::move(q), h.now() + set.lose * 6);
-    } catch (const verdict& v) {
-      hive::log(grade::note, set.name, std::string("not yet a voter: ") + v.what());
-    }
+    co_await enter(via);
   }
-  co_await rest(h, h.spread(set.beat));
+  if (!may_vote()) co_await rest(h, h.spread(set.beat));
 }
 
 auto ledger::send_capture(std::string addr, std::int64_t t) -> task<void> {
@@ -512,7 +589,7 @@
   auto told = std::int64_t{-1};
   auto mine = [&] {
     if (role != part::lead || term != t) return false;
-    return learners.count(addr) > 0 || std::any_of(panel.begin(), panel.end(), [&](auto& v) { return v.addr == addr; });
+    return learners.count(addr) > 0 || seated(addr);
   };
   while (mine()) {
     auto& m = marks[addr];
@@ -667,14 +744,34 @@
     if (num(t, "term") == term && role == part::follow && may_vote()) home.spawn(usurp());
     co_return branch{{"ok", true}};
   }
-  if (op == "l.who") co_return branch{{"id", me.id}, {"founded", founded}, {"empty", term == 0 && last() == 0}, {"lead", lead}};
+  if (op == "l.who") {
+    auto mate = std::find(panel.begin(), panel.end(), voter{str_or(t, "addr"), str_or(t, "id")}) != panel.end();
+    co_return branch{{"id", me.id}, {"founded", founded}, {"empty", term == 0 && last() == 0}, {"lead", lead}, {"mate", mate}};
+  }
   throw verdict("malformed", "unknown request " + op);
 }
 
 auto ledger::stand() const -> tree {
+  // The leader knows how each voter is; the others name them only.
+  auto rows = to_tree(panel).as_array();
+  if (role == part::lead) {
+    auto tell = [&](branch& row, const std::string& addr, const char* seat) {
+      auto it = marks.find(addr);
+      auto here = addr == me.addr;
+      row["seat"] = seat;
+      row["behind"] = here ? last() - solid : it == marks.end() ? last() : last() - it->second.match;
+      row["silent_ms"] = here ? 0 : it == marks.end() ? -1 : (h.now() - it->second.heard) / msec;
+    };
+    for (auto& r : rows) tell(r.as_object(), str(r, "addr"), "voter");
+    for (const auto& a : learners) {
+      auto row = branch{{"addr", a}, {"id", ""}};
+      tell(row, a, "enters");
+      rows.push_back(row);
+    }
+  }
   return branch{{"role", role == part::lead ? "leader" : role == part::run ? "candidate" : may_vote() ? "follower" : "learner"},
                 {"leader", lead}, {"term", term}, {"last", last()}, {"agreed", agreed}, {"applied", applied},
-                {"base", base}, {"voters", to_tree(panel)}, {"disk", me.id}};
+                {"base", base}, {"voters", rows}, {"changing", role == part::lead && changing}, {"disk", me.id}};
 }
 
 }  // namespace hive
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -86,6 +86,12 @@
   auto settle() -> task<void>;
   auto clock() -> task<void>;
   auto found() -> task<void>;
+  auto enter(std::string via) -> task<void>;
+  auto enter_again() -> task<void>;
+  auto unseat(voter v, const char* why) -> task<void>;
+  [[nodiscard]] auto seated(const std::string& addr) const -> bool;
+  [[nodiscard]] auto peers() const -> std::vector<std::string>;  // seeds and voters, this one not among them
+  [[nodiscard]] auto silent(tick span) const -> std::vector<voter>;  // leader only: not heard for so long, the longest first
   auto run_for(bool dry) -> task<bool>;
   auto usurp() -> task<void>;
   auto leader_gone(const std::string& addr) -> void;
@@ -121,7 +127,7 @@
   std::set<std::string> learners;
   std::map<std::string, std::unique_ptr<colleague>> mates;
   signal grown, agreed_more, beat_in, pushed;
-  bool changing = false, leaving = false, urged = false;
+  bool changing = false, leaving = false, urged = false, entering = false;
   nest home;
 };
 
--- a/ledger/ledger_test.cpp
+++ b/ledger/ledger_test.cpp
@@ -1,5 +1,8 @@
 #include "ledger/ledger.hpp"
 
+#include <set>
+#include <sstream>
+
 #include "swarm/fleet.hpp"
 
 // After all others: it redefines new.
@@ -14,6 +17,28 @@
   s.combs = s.foragers = s.callers = 0;
   return s;
 }
+auto voters(const fleet& f) -> std::string {
+  auto out = std::string();
+  auto lead = f.leader();
+  if (lead.empty()) return "none leads";
+  for (const auto& v : f.all.at(lead)->q->book.voters())
+    for (const auto& n : f.names("queen"))
+      if (f.all.at(n)->set.addr == v.addr) out += n + " ";
+  return out;
+}
+auto sorted(std::string row) -> std::string {
+  auto in = std::istringstream(row);
+  auto all = std::set<std::string>();
+  for (auto one = std::string(); in >> one;) all.insert(one);
+  row.clear();
+  for (const auto& n : all) row += n + " ";
+  return row;
+}
+auto go(fleet& f, tick span) -> void { f.world.run(f.world.clock + span); }
+auto start_all(fleet& f) -> void {
+  for (const auto& n : f.names("queen")) f.start(n);
+  go(f, 4 * sec);
+}
 auto addr(const fleet& f, const std::string& name) -> std::string { return f.all.at(name)->set.addr; }
 }  // namespace
 
@@ -60,3 +85,114 @@
   f.world.run(f.world.clock + 5 * sec);
   CHECK(!f.leader().empty());
 }
+
+TEST_GROUP(ledger_voters){};
+// A machine gone for good holds nobody up, and counts in no majority any more.
+TEST(ledger_voters, one_at_a_new_address_takes_the_place_of_a_lost_one) {
+  for (auto first : {true, false}) {  // the leader, or another
+    auto f = fleet(7, queens(3));
+    start_all(f);
+    auto lead = f.leader();
+    auto lost = first ? lead : lead == "queen-2" ? "queen-3" : "queen-2";
+    f.remove(lost);
+    go(f, 2 * sec);
+    f.start(f.add_queen());
+    go(f, 8 * sec);
+    auto now = sorted(voters(f));
+    CHECK(now.find("queen-4") != std::string::npos);
+    CHECK(now.find(lost) == std::string::npos);
+    LONGS_EQUAL(24, now.size());
+    f.remove(f.leader());
+    go(f, 5 * sec);
+    CHECK(!f.leader().empty());
+  }
+}
+// The new one first, then the old one goes: nobody says that it will not come back.
+TEST(ledger_voters, a_silent_one_goes_where_enough_stay) {
+  auto f = fleet(8, queens(3));
+  start_all(f);
+  f.start(f.add_queen());
+  go(f, 5 * sec);
+  STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-4 ", sorted(voters(f)).c_str());
+  f.remove("queen-1");
+  go(f, 12 * sec);
+  STRCMP_EQUAL("queen-2 queen-3 queen-4 ", sorted(voters(f)).c_str());
+  f.remove("queen-2");  // silence alone goes no further
+  go(f, 12 * sec);
+  STRCMP_EQUAL("queen-2 queen-3 queen-4 ", sorted(voters(f)).c_str());
+  CHECK(!f.leader().empty());
+}
+// Three are named to all; the others enter by themselves, and two of five may be lost.
+TEST(ledger_voters, more_than_three_machines_all_vote) {
+  auto f = fleet(9, queens(5));
+  for (const auto& n : f.names("queen")) f.all.at(n)->set.seeds.resize(3);
+  start_all(f);
+  go(f, 6 * sec);
+  STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-4 queen-5 ", sorted(voters(f)).c_str());
+  f.kill("queen-1");
+  f.kill("queen-2");
+  go(f, 5 * sec);
+  CHECK(!f.leader().empty());
+}
+// Cut off while its seat was given away: it leads nobody meanwhile, and enters again.
+TEST(ledger_voters, one_whose_seat_was_given_away_enters_again) {
+  auto f = fleet(10, queens(3));
+  start_all(f);
+  auto who = f.leader() == "queen-1" ? std::string("queen-2") : std::string("queen-1");
+  auto box = f.all.at(who)->box->name;
+  f.world.cut(box, "*");
+  f.world.cut("*", box);
+  go(f, 3 * sec);
+  f.start(f.add_queen());
+  go(f, 6 * sec);
+  CHECK(sorted(voters(f)).find(who) == std::string::npos);
+  f.world.heal(box, "*");
+  f.world.heal("*", box);
+  go(f, 8 * sec);
+  STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-4 ", sorted(voters(f)).c_str());
+}
+// All who were named at the start are gone: nodes and queens go by the voters that stand now.
+TEST(ledger_voters, nodes_learn_of_the_queens_that_stand) {
+  auto s = queens(3);
+  s.combs = s.foragers = 1;
+  auto f = fleet(11, s);
+  for (const auto& [n, p] : f.all) f.start(n);
+  go(f, 4 * sec);
+  for (auto lost : {"queen-1", "queen-2", "queen-3"}) {
+    f.remove(lost);
+    go(f, 2 * sec);
+    f.start(f.add_queen());
+    go(f, 8 * sec);
+    if (std::string(lost) == "queen-1") f.relist("queen-1", "queen-4");
+    if (std::string(lost) == "queen-2") f.relist("queen-2", "queen-5");
+  }
+  STRCMP_EQUAL("queen-4 queen-5 queen-6 ", sorted(voters(f)).c_str());
+  CHECK(f.all.at("comb-1")->c->ses.leased());
+  CHECK(f.all.at("scout-1")->s->ses.leased());
+  auto known = f.all.at("queen-4")->q->status();
+  CHECK(sub(sub(known, "beliefs"), "members").as_object().contains("comb-1"));
+}
+TEST(ledger_voters, an_operator_sees_who_votes_and_a_change_under_way) {
+  auto f = fleet(12, queens(3));
+  start_all(f);
+  auto slow = f.add_queen();
+  auto lead = f.leader();
+  f.start(slow);
+  auto seen = std::string();
+  for (auto i = 0; i < 400 && seen.empty(); ++i) {
+    go(f, 10 * msec);
+    auto now = f.all.at(lead)->q->book.stand();
+    for (const auto& v : list(now, "voters"))
+      if (str(v, "seat") == "enters" && yes(now, "changing")) seen = str(v, "addr");
+  }
+  STRCMP_EQUAL(addr(f, slow).c_str(), seen.c_str());
+  go(f, 5 * sec);
+  auto now = f.all.at(lead)->q->book.stand();
+  CHECK_FALSE(yes(now, "changing"));
+  LONGS_EQUAL(4, list(now, "voters").size());
+  for (const auto& v : list(now, "voters")) {
+    STRCMP_EQUAL("voter", str(v, "seat").c_str());
+    LONGS_EQUAL(0, num(v, "behind"));
+    CHECK(num(v, "silent_ms") < 500);
+  }
+}
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -85,6 +85,7 @@
 class keeper {
  public:
   keeper(host& h, std::vector<std::string> queens, std::vector<std::string> foragers, history& log);
+  auto meet(std::string queen) -> void { queens.push_back(std::move(queen)); }  // one that was added
   auto put(std::int64_t number, std::string body) -> task<bool>;  // true once told accepted
   auto await_held(std::int64_t number, tick until) -> task<bool>;
   auto probe_all(std::int64_t low, std::int64_t high) -> task<void>;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "scout/session.hpp"
 #include "wax/ring.hpp"
 
 namespace hive {
@@ -47,13 +48,28 @@
     p.page = [this](request r) { return page(std::move(r)); };
     home.spawn(serve_web(h, home, h.listen(c.web), p));
   }
-  for (const auto& s : c.seeds)
-    if (s != c.addr) home.spawn(swaps(s));
+  meet();
   home.spawn(sweep());
   home.spawn(place());
 }
 queen::~queen() = default;
 
+auto queen::queens() const -> std::set<std::string> {
+  auto out = std::set<std::string>(set.seeds.begin(), set.seeds.end());
+  for (const auto& v : book.voters()) out.insert(v.addr);
+  out.erase(set.addr);
+  return out;
+}
+auto queen::stands() const -> std::vector<std::string> {
+  auto out = std::vector<std::string>();
+  for (const auto& v : book.voters()) out.push_back(v.addr);
+  return out;
+}
+auto queen::meet() -> void {
+  for (const auto& a : queens())
+    if (swapping.insert(a).second) home.spawn(swaps(a));
+}
+
 auto queen::refresh() -> void {
   known.law = law.law;
   known.cells = law.cells;
@@ -89,6 +105,10 @@
     grants.erase(n);
     co_return branch{{"ok", true}};
   }
+  if (op == "voters") {
+    if (!book.leads()) co_return co_await to_leader(std::move(t));
+    co_return book.stand();
+  }
   if (op == "draw" || op == "held" || op == "fresh" || op == "refound") {
     if (!book.leads()) co_return co_await to_leader(std::move(t));
     co_await book.fresh(h.now() + set.budget);
@@ -135,10 +155,20 @@
   mine.rows[row.name] = row;
   auto vec = sub(t, "vec");
   auto end = came + set.beat / 2;
-  auto out = known.lacks(vec);
+  auto had = num_or(t, "queens", 0);
+  auto lacks = [&] {
+    auto o = known.lacks(vec);
+    if (auto row = stands(); !row.empty() && mark_of(row) != had) {
+      auto names = twigs();
+      for (const auto& a : row) names.emplace_back(a);
+      o["queens"] = names;
+    }
+    return o;
+  };
+  auto out = lacks();
   while (out.empty() && h.now() < end) {
     auto in_time = co_await news.wait(h, end);
-    out = known.lacks(vec);
+    out = lacks();
     if (!in_time) break;
   }
   if (auto wishes = wishes_for(row.name); !wishes.empty()) out["wish"] = wishes;
@@ -164,7 +194,7 @@
 // asker give leases to just those it has named.
 auto queen::swaps(std::string addr) -> task<void> {
   auto told = std::int64_t{-1};
-  while (true) {
+  while (queens().count(addr)) {
     auto sent = h.now();
     auto fine = false;
     try {
@@ -205,6 +235,7 @@
       if (!in_time) break;
     }
   }
+  swapping.erase(addr);
 }
 
 auto queen::on_swap(const tree& t) -> tree {
@@ -247,6 +278,7 @@
 auto queen::sweep() -> task<void> {
   while (true) {
     co_await rest(h, set.beat);
+    meet();
     auto now = h.now();
     auto& mine = known.tables[source];
     auto lost = false;
@@ -615,6 +647,11 @@
       }
     co_return response{200, rows, {}};
   }
+  if (r.path == "/v1/voters") {
+    auto q = tree(branch{{"op", "voters"}});
+    auto out = co_await ask(nullptr, std::move(q));
+    co_return response{200, branch{{"leader", sub(out, "leader")}, {"changing", sub(out, "changing")}, {"voters", sub(out, "voters")}}, {}};
+  }
   if (r.path == "/v1/cells") {
     auto q = tree(branch{{"op", "fresh"}});
     auto out = co_await ask(nullptr, std::move(q));
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -44,6 +44,9 @@
   auto to_leader(tree t) -> task<tree>;
   auto deed(tree d) -> task<tree>;
   auto swaps(std::string addr) -> task<void>;
+  auto meet() -> void;  // swaps with each queen that the seeds or the ledger name
+  [[nodiscard]] auto queens() const -> std::set<std::string>;  // the other queens' addresses
+  [[nodiscard]] auto stands() const -> std::vector<std::string>;  // where sessions can stand now
   auto sweep() -> task<void>;
   auto place() -> task<void>;
   auto refresh() -> void;  // the ledger moved: bring the view up to it
@@ -70,6 +73,7 @@
   std::map<std::string, guest> guests;
   std::map<std::string, grant> grants;
   std::map<std::string, tick> mates_seen;
+  std::set<std::string> swapping;  // the queens that a task swaps with
   std::map<std::string, std::int64_t> drawn;
   std::int64_t grant_need = 0, grant_cells = 0, boot = 0, bump = 0;
   signal news;
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -1,11 +1,20 @@
 #include "scout/session.hpp"
 
+#include <algorithm>
+#include <boost/crc.hpp>
+
 #include "wax/ring.hpp"
 
 namespace hive {
 
+auto mark_of(const std::vector<std::string>& row) -> std::int64_t {
+  auto crc = boost::crc_32_type();
+  for (const auto& a : row) crc.process_bytes(a.c_str(), a.size() + 1);
+  return static_cast<std::int64_t>(crc.checksum());
+}
+
 session::session(host& hh, const config& c, std::vector<std::string> d)
-    : h(hh), set(c), doors(std::move(d)), home(hh) {
+    : h(hh), set(c), seeds(std::move(d)), doors(seeds), home(hh) {
   at = h.below(doors.size());
   me.name = c.name;
   me.zone = c.zone;
@@ -14,6 +23,20 @@
   home.spawn(run());
 }
 
+// The queens that stand now, as the ledger has them: the seeds may all be of another time (design 5.2).
+auto session::take_queens(const tree& row) -> void {
+  if (!row.is_array() || row.get_array().empty()) return;
+  auto here = doors[at];
+  queens.clear();
+  for (const auto& a : row.get_array()) queens.emplace_back(a.as_string());
+  doors = queens;
+  for (const auto& s : seeds)
+    if (std::find(doors.begin(), doors.end(), s) == doors.end()) doors.push_back(s);
+  auto it = std::find(doors.begin(), doors.end(), here);
+  if (it == doors.end()) it = doors.insert(doors.end(), here);  // it just answered
+  at = static_cast<std::size_t>(it - doors.begin());
+}
+
 auto session::run() -> task<void> {
   auto good = h.now();     // when this door last gave a lease
   auto sent_up = h.now();  // when it last stood
@@ -26,7 +49,7 @@
     auto sent = h.now();
     auto failed = false;
     try {
-      auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", known.vec()},
+      auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", known.vec()}, {"queens", queens.empty() ? 0 : mark_of(queens)},
                            {"charter", serving ? serving() : known.law ? known.law->number : 0}});
       auto r = co_await line->ask(std::move(q), sent + set.lose);
       if (gone) break;
@@ -39,6 +62,7 @@
         ever = true;
         good = h.now();
       }
+      take_queens(sub(r, "queens"));
       const auto& w = list(r, "wish");
       auto moved = known.merge(r) || w != wish;
       wish = w;
--- a/scout/session.hpp
+++ b/scout/session.hpp
@@ -11,6 +11,9 @@
 
 namespace hive {
 
+// A short mark of a list of queens, so that a list is sent only to who has another.
+auto mark_of(const std::vector<std::string>& row) -> std::int64_t;
+
 class session {
  public:
   // `doors`: where a session can stand; the next is tried when one is silent or gives no lease.
@@ -36,9 +39,10 @@
 
  private:
   auto run() -> task<void>;
+  auto take_queens(const tree& row) -> void;
   host& h;
   config set;
-  std::vector<std::string> doors;
+  std::vector<std::string> seeds, queens, doors;  // doors: the queens last told of, then the seeds
   std::size_t at = 0;
   tick until = 0;
   std::int64_t least = 0, cells_need = 0;
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -87,6 +87,27 @@
   return "comb-" + n;
 }
 
+auto fleet::add_queen() -> std::string {
+  auto i = 1;
+  while (all.count("queen-" + std::to_string(i))) ++i;
+  auto n = std::to_string(i);
+  add("queen", "queen-" + n, "q" + n, "z" + std::to_string((i - 1) % form.zones + 1));
+  if (boss) boss->meet(queen_webs.back());
+  return "queen-" + n;
+}
+
+auto fleet::remove(const std::string& name) -> void {
+  kill(name);
+  lose_disk(name);
+  all.at(name)->gone = true;
+}
+
+auto fleet::relist(const std::string& gone, const std::string& came) -> void {
+  auto was = all.at(gone)->set.addr, is = all.at(came)->set.addr;
+  std::replace(seeds.begin(), seeds.end(), was, is);
+  for (auto& [n, p] : all) std::replace(p->set.seeds.begin(), p->set.seeds.end(), was, is);
+}
+
 auto fleet::add_forager() -> std::string {
   auto i = 1;
   while (all.count("forager-" + std::to_string(i))) ++i;
@@ -99,7 +120,7 @@
 
 auto fleet::start(const std::string& name) -> void {
   auto& p = *all.at(name);
-  if (p.up() || !p.box->on) return;
+  if (p.up() || p.gone || !p.box->on) return;
   auto disk = p.kind == "queen" || p.kind == "comb";
   p.h = std::make_unique<sim_host>(world, *p.box, disk, seed * 1000003 + ++births);
   auto charged = heap_scope(world.metered ? p.h->heap : nullptr);
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -40,6 +40,7 @@
     std::unique_ptr<scout> s;
     std::unique_ptr<forager> f;
     std::unique_ptr<nest> extra;
+    bool gone = false;  // its machine was taken away for good
     [[nodiscard]] auto up() const -> bool { return h != nullptr; }
   };
 
@@ -63,6 +64,10 @@
   [[nodiscard]] auto leader() const -> std::string;
   auto names(const std::string& kind_or_zone) const -> std::vector<std::string>;
   auto add_comb() -> std::string;
+  auto add_queen() -> std::string;    // by the seeds as they stand
+  auto remove(const std::string& name) -> void;  // for good, with its disk
+  // The list that settings files are written from: counts for each process from its next start.
+  auto relist(const std::string& gone, const std::string& came) -> void;
   auto add_forager() -> std::string;  // with its scout, on a machine of their own
   // Runs an operator's task to its end on the simulated clock.
   auto operate(std::function<task<void>(keeper&)> fn) -> void;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -15,7 +15,7 @@
 const auto verbs = std::map<std::string, std::size_t>{
     {"kill", 1}, {"start", 1}, {"term", 1}, {"freeze", 1}, {"power", 1}, {"cut", 2}, {"oneway", 2}, {"island", 1},
     {"losedisk", 1}, {"flip", 2}, {"reset", 1}, {"charter", 0}, {"stale", 0}, {"bad", 0}, {"race", 0}, {"leave", 2},
-    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"riskdisk", 1}, {"riskflip", 2}};
+    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"replace", 1}, {"riskdisk", 1}, {"riskflip", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -312,6 +312,17 @@
       for (auto& n : who(a[0])) ++counts[f.settle(n, a[1], a[2]) ? "settings_taken" : "settings_refused"];
     } else if (c.verb == "add") {
       f.start(f.add_comb());
+    } else if (c.verb == "replace") {  // gone for good; after the span an empty one comes at another address
+      for (auto& n : who(a[0])) {
+        auto queen = f.all.at(n)->kind == "queen";
+        f.remove(n);
+        after(c.span ? c.span : 2 * sec, [this, n, queen] {
+          auto next = queen ? f.add_queen() : f.add_comb();
+          f.start(next);
+          // The seed list lags behind, and counts from the next start.
+          if (queen) f.world.later(f.world.clock + 3 * sec, [this, n, next] { f.relist(n, next); });
+        });
+      }
     } else if (c.verb == "grow") {
       auto n = f.add_forager();
       f.start("scout-" + n);
