A write torn by a loss of power no longer keeps a data folder from opening

Cause: LevelDB with its paranoid checks refuses to open a folder whose last log record has a wrong checksum, which is what a torn unsynced write leaves; the process would end at each start, and the machine stay away for good. Names made while opening were not synced either. Change: the torn last record is cut off, if no whole record begins after it; the folder is synced after opening; the files are opened before signals are watched, so that a refusal leaves nothing behind. Conclusion: an altered last record that was synced looks the same and is cut too; the checks above the disk find what then lacks.

--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -15,6 +15,7 @@
 
 #include "wax/aside.hpp"
 #include "wax/ring.hpp"
+#include "wax/torn_tail.hpp"
 #include "wax/verdict.hpp"
 
 namespace hive {
@@ -144,17 +145,25 @@
   watch eye;
 };
 
+// Opens the files in a folder; what a loss of power tore of the last write goes.
+auto open_files(const std::string& folder) -> std::unique_ptr<leveldb::DB> {
+  auto opt = leveldb::Options();
+  opt.create_if_missing = true;
+  opt.paranoid_checks = true;
+  auto* raw = static_cast<leveldb::DB*>(nullptr);
+  auto s = leveldb::DB::Open(opt, folder, &raw);
+  if (s.IsCorruption() && cut_torn_tail(folder)) s = leveldb::DB::Open(opt, folder, &raw);
+  if (!s.ok()) throw verdict("disk", "data folder " + folder + ": " + s.ToString());
+  auto out = std::unique_ptr<leveldb::DB>(raw);
+  // Names that opening has made or removed last only after a sync of their folder.
+  auto dir = fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (dir.get() < 0 || ::fsync(dir.get()) != 0) throw verdict("disk", "data folder " + folder + ": " + std::strerror(errno));
+  return out;
+}
+
 class level_store : public store {
  public:
-  level_store(struct ev_loop* base, loop& l, const std::string& folder) : store(l), side(base, l) {
-    auto opt = leveldb::Options();
-    opt.create_if_missing = true;
-    opt.paranoid_checks = true;
-    auto* raw = static_cast<leveldb::DB*>(nullptr);
-    auto s = leveldb::DB::Open(opt, folder, &raw);
-    if (!s.ok()) throw verdict("disk", "data folder " + folder + ": " + s.ToString());
-    db.reset(raw);
-  }
+  level_store(struct ev_loop* base, loop& l, const std::string& folder) : store(l), db(open_files(folder)), side(base, l) {}
   ~level_store() override { stop(); }
   auto get(const std::string& key) -> std::optional<std::string> override {
     auto opt = leveldb::ReadOptions();
@@ -210,6 +219,7 @@
 
 evhost::evhost(const std::string& data) : base(ev_default_loop(0)), own(std::make_unique<guts>()) {
   ::signal(SIGPIPE, SIG_IGN);
+  if (!data.empty()) db = std::make_unique<level_store>(base, *this, data);  // may throw: nothing is watched yet
   ev_timer_init(&own->clock, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);
   auto on = [this](ev_signal& s, int n, bool hup) {
     if (hup) ev_signal_init(&s, [](struct ev_loop*, ev_signal* w, int) { if (auto& f = static_cast<evhost*>(w->data)->on_hup) f(); }, n);
@@ -220,7 +230,6 @@
   on(own->term, SIGTERM, false);
   on(own->intr, SIGINT, false);
   on(own->hup, SIGHUP, true);
-  if (!data.empty()) db = std::make_unique<level_store>(base, *this, data);
 }
 evhost::~evhost() {
   ev_timer_stop(base, &own->clock);
