A disk that failed a write is written again once it takes it; no restart is needed

Cause: one failed write was for ever. The store refused each later sync, cells there stayed out, a queen's election clock ended with the first sync that failed, and only an end of the process could mend it. Going on behind the failed write instead would leave a hole: LevelDB takes nothing more after some faults and writes on behind a torn record after others. Change: what failed stays first in line; the files are closed, opened again and written until the disk takes it. A cell takes part again after that; a queen with such a disk listens, but neither stands nor votes. Conclusion: the scenario's deed 'full' ends without the restart it had.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -371,13 +371,19 @@
     auto upto = last();
     auto top = epoch_at(upto);
     auto era = wipes;
+    auto fault = std::string();
     try {
       co_await disk.sync();
     } catch (const verdict& v) {
-      broken = true;
-      halt(std::string("disk: ") + v.what());
+      fault = v.what();
+    }
+    if (!fault.empty()) {
+      auto was = std::exchange(broken, true);
+      halt("disk: " + fault);
       spill("the disk of " + g.set.name + " fails");
-      co_return;
+      while (disk.broken()) co_await rest(h, g.set.beat);
+      if (!was) broken = false;  // it has taken everything since, in order
+      continue;
     }
     if (era == wipes && upto <= last() && epoch_at(upto) == top) solid = std::max(solid, upto);
     if (role == part::prim) release();
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -92,7 +92,7 @@
   while (true) {
     auto end = h.now() + set.beat;
     co_await ses.news.wait(h, end);
-    if (!ses.fresh()) continue;
+    if (!ses.fresh() || h.disk()->broken()) continue;  // a copy that cannot be read now is not a damaged one
     auto me = ses.me.member();
     for (const auto& [id, r] : ses.known.cells)
       if (r.holds(me) && !cells.count(id)) add(id);
@@ -218,6 +218,7 @@
     if (s->bad) throw *s->bad;
     co_return std::move(*s->out);
   }
+  if ((op == "c.join" || op == "c.copy") && h.disk()->broken()) throw verdict("disk", "the disk takes nothing now", ran::no, set.lose / msec);
   if (op == "c.join") {
     if (!ses.fresh()) throw verdict("away", "not yet fresh from the ledger", ran::no, set.beat / msec);
     co_return co_await add(str(t, "cell")).on_join(t);
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -266,8 +266,11 @@
 
 // The one clock of the ledger: founding, elections, and a leader that lost its majority.
 auto ledger::clock() -> task<void> {
-  co_await disk.sync();
   while (true) {
+    if (disk.broken() && role != part::lead) {  // it cannot vote, stand or enter: it listens
+      co_await rest(h, set.beat);
+      continue;
+    }
     if (!may_vote()) {
       co_await found();
       continue;
@@ -324,7 +327,12 @@
     term = t;
     voted = me.addr;
     keep_meta();
-    co_await disk.sync();
+    try {
+      co_await disk.sync();
+    } catch (const verdict&) {
+      if (role == part::run) role = part::follow;
+      co_return false;
+    }
     if (term != t || role != part::run) co_return false;
   }
   auto ayes = std::make_shared<std::set<std::string>>();
@@ -563,8 +571,11 @@
     seat();
     disk.put("L/cap", seal(branch{{"idx", 0}, {"term", 0}, {"panel", to_tree(panel)}, {"state", nullptr}}));
     keep_meta();
-    co_await disk.sync();
-    hive::log(grade::note, set.name, "the ledger is founded");
+    try {
+      co_await disk.sync();
+      hive::log(grade::note, set.name, "the ledger is founded");
+    } catch (const verdict&) {
+    }
   } else if (!blank) {
     co_await enter(via);
   }
--- a/ledger/ledger_test.cpp
+++ b/ledger/ledger_test.cpp
@@ -196,3 +196,41 @@
     CHECK(num(v, "silent_ms") < 500);
   }
 }
+
+// A disk that takes no more: it neither votes nor leads on what is not there, keeps running, and follows again with room.
+TEST_GROUP(ledger_disks){};
+TEST(ledger_disks, a_full_one_steps_back_and_comes_again) {
+  auto f = fleet(13, queens(3));
+  start_all(f);
+  auto lead = f.leader();
+  auto put = [&](const std::string& who, const char* name) {
+    auto out = std::make_shared<std::string>("no answer");
+    f.all.at(who)->extra->spawn([](queen& q, host& h, std::string n, std::shared_ptr<std::string> o) -> task<void> {
+      try {
+        auto d = tree(branch{{"k", "leave"}, {"name", n}, {"kind", "drain"}});
+        auto r = co_await q.book.propose(std::move(d), h.now() + sec);
+        *o = text(r);
+      } catch (const verdict& v) {
+        *o = v.code;
+      }
+    }(*f.all.at(who)->q, *f.all.at(who)->h, name, out));
+    go(f, 2 * sec);
+    return *out;
+  };
+  f.all.at(lead)->box->full = true;
+  STRCMP_EQUAL("unclear", put(lead, "comb-1").c_str());
+  go(f, 3 * sec);
+  auto next = f.leader();
+  CHECK(!next.empty() && next != lead);
+  STRCMP_EQUAL("{\"ok\":true}", put(next, "comb-2").c_str());
+  f.all.at(lead)->box->full = false;
+  go(f, 3 * sec);
+  // It has all again: with the two of them gone in turn, it counts.
+  f.kill(next);
+  go(f, 5 * sec);
+  auto third = f.leader();
+  CHECK(!third.empty());
+  STRCMP_EQUAL("{\"ok\":true}", put(third, "comb-3").c_str());
+  LONGS_EQUAL(1, f.all.at(lead)->q->law.leavings.count("comb-2"));
+  LONGS_EQUAL(1, f.all.at(lead)->q->law.leavings.count("comb-3"));
+}
--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -174,7 +174,7 @@
   }
 
  protected:
-  auto write(std::vector<deed> row) -> task<void> override {
+  auto write(const std::vector<deed>& row) -> task<void> override {
     ++own.world.syncs;
     auto took = own.box.sync_cost;
     took = took / 2 + static_cast<tick>(own.dice() % static_cast<std::uint64_t>(took + 1));
@@ -184,9 +184,9 @@
     if (box.holds) co_await hold(own, own.now() + took);
     else co_await rest(own, took);
     if (own.box.full) throw verdict("disk", "no space left", ran::maybe);
-    for (auto& d : row) {
+    for (const auto& d : row) {
       if (d.cut) own.box.solid.erase(d.key);
-      else own.box.solid[d.key] = std::move(d.val);
+      else own.box.solid[d.key] = d.val;
     }
   }
 
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -272,11 +272,7 @@
       for (auto& n : who(a[0])) {
         auto* m = f.all.at(n)->box;
         m->full = true;
-        after(c.span, [this, n, m] {
-          m->full = false;
-          f.kill(n);
-          f.start(n);
-        });
+        after(c.span, [m] { m->full = false; });
       }
     } else if (c.verb == "cut" || c.verb == "oneway") {
       auto from = place(a[0]), to = place(a[1]);
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -163,13 +163,13 @@
 
 class level_store : public store {
  public:
-  level_store(struct ev_loop* base, loop& l, const std::string& folder) : store(l), db(open_files(folder)), side(base, l) {}
+  level_store(struct ev_loop* base, loop& l, std::string f) : store(l), folder(std::move(f)), db(open_files(folder)), side(base, l) {}
   ~level_store() override { stop(); }
   auto get(const std::string& key) -> std::optional<std::string> override {
     auto opt = leveldb::ReadOptions();
     opt.verify_checksums = true;
     auto out = std::string();
-    auto s = db->Get(opt, key, &out);
+    auto s = there().Get(opt, key, &out);
     if (s.IsNotFound()) return {};
     if (!s.ok()) throw bad_bytes(s.ToString());
     return out;
@@ -178,35 +178,57 @@
             const std::function<void(const std::string&, const std::string&)>& fn) -> void override {
     auto opt = leveldb::ReadOptions();
     opt.verify_checksums = true;
-    auto it = std::unique_ptr<leveldb::Iterator>(db->NewIterator(opt));
+    auto it = std::unique_ptr<leveldb::Iterator>(there().NewIterator(opt));
     for (it->Seek(head); it->Valid() && it->key().starts_with(head); it->Next())
       fn(it->key().ToString(), it->value().ToString());
     if (!it->status().ok()) throw bad_bytes(it->status().ToString());
   }
 
  protected:
-  auto write(std::vector<deed> row) -> task<void> override {
+  auto write(const std::vector<deed>& row) -> task<void> override {
+    if (!db) co_await reopen();
     auto b = std::make_shared<leveldb::WriteBatch>();
     for (const auto& d : row) {
       if (d.cut) b->Delete(d.key);
       else b->Put(d.key, d.val);
     }
     // Not written inside the co_await: g++ 12 ends a lambda's captures twice there.
-    auto work = std::function<std::string()>([b, d = db.get()] {
+    auto work = std::function<std::string()>([b, d = db] {
       auto opt = leveldb::WriteOptions();
       opt.sync = true;
       auto s = d->Write(opt, b.get());
       return s.ok() ? std::string() : s.ToString();
     });
     auto fault = co_await side.run(std::move(work));
-    if (!fault.empty()) {
-      log(grade::grave, "store", fault);
-      throw verdict("disk", fault, ran::maybe);
-    }
+    if (fault.empty()) co_return;
+    // The library takes nothing more after some faults, and after others writes on behind a torn record.
+    db.reset();
+    log(grade::grave, "store", fault);
+    throw verdict("disk", fault, ran::maybe);
   }
 
  private:
-  std::unique_ptr<leveldb::DB> db;
+  auto reopen() -> task<void> {
+    auto got = std::make_shared<std::shared_ptr<leveldb::DB>>();
+    auto work = std::function<std::string()>([got, f = folder] {
+      try {
+        *got = open_files(f);
+      } catch (const std::exception& e) {
+        return std::string(e.what());
+      }
+      return std::string();
+    });
+    auto fault = co_await side.run(std::move(work));
+    if (!fault.empty()) throw verdict("disk", fault, ran::maybe);
+    db = std::move(*got);
+    log(grade::note, "store", "the data folder is open again");
+  }
+  [[nodiscard]] auto there() const -> leveldb::DB& {
+    if (!db) throw verdict("disk", "the data folder is being opened again", ran::no, sec / msec);
+    return *db;
+  }
+  std::string folder;
+  std::shared_ptr<leveldb::DB> db;  // none: closed after a fault
   aside side;  // ends, with what it has under way, before the files close
 };
 
--- a/wax/evhost_test.cpp
+++ b/wax/evhost_test.cpp
@@ -9,6 +9,7 @@
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -97,6 +98,53 @@
   }
   std::filesystem::remove_all(dir);
 }
+// A disk that takes no more and later does again: syncs fail meanwhile, nothing put is lost, and no end of the process is needed.
+TEST(real_disk, a_full_disk_is_written_on_once_there_is_room) {
+  char dir[] = "/tmp/hive-test-XXXXXX";
+  CHECK(::mkdtemp(dir) != nullptr);
+  auto said = std::string();
+  {
+    auto was = rlimit();
+    ::getrlimit(RLIMIT_FSIZE, &was);
+    auto old = std::signal(SIGXFSZ, SIG_IGN);
+    auto h = evhost(dir);
+    auto home = nest(h);
+    home.spawn([](evhost& hh, rlimit limit, std::string& out) -> task<void> {
+      auto& d = *hh.disk();
+      d.put("a", "1");
+      co_await d.sync();
+      auto small = limit;
+      small.rlim_cur = 4096;
+      ::setrlimit(RLIMIT_FSIZE, &small);
+      for (auto i = 0; i < 2; ++i) {
+        d.put("b" + std::to_string(i), std::string(8000, 'b'));
+        try {
+          co_await d.sync();
+          out += "taken ";
+        } catch (const verdict& v) {
+          out += v.code + (d.broken() ? " broken " : " ");
+        }
+      }
+      co_await rest(hh, 600 * msec);
+      ::setrlimit(RLIMIT_FSIZE, &limit);
+      while (d.broken()) co_await rest(hh, 50 * msec);
+      d.put("c", "3");
+      co_await d.sync();
+      out += "and again";
+      hh.end();
+    }(h, was, said));
+    h.run();
+    std::signal(SIGXFSZ, old);
+  }
+  STRCMP_EQUAL("disk broken disk broken and again", said.c_str());
+  {
+    auto h = evhost(dir);
+    auto keys = std::string();
+    h.disk()->scan("", [&](const std::string& k, const std::string& v) { keys += k + ":" + std::to_string(v.size()) + " "; });
+    STRCMP_EQUAL("a:1 b0:8000 b1:8000 c:1 ", keys.c_str());
+  }
+  std::filesystem::remove_all(dir);
+}
 TEST_GROUP(real_net){};
 // Where nobody listens the machine says so at once; a dial that runs out of time tells nothing.
 TEST(real_net, a_refused_dial_is_told_from_a_silent_one) {
--- a/wax/host.cpp
+++ b/wax/host.cpp
@@ -3,6 +3,11 @@
 #include "wax/verdict.hpp"
 
 namespace hive {
+namespace {
+
+constexpr auto pause = 250 * msec;  // before what the disk did not take is tried again
+
+}  // namespace
 
 auto store::sync() -> task<void> {
   auto want = asked;
@@ -18,17 +23,25 @@
 
 // A task of the store's own: whoever asked may end while the disk works.
 auto store::flush() -> task<void> {
-  auto row = std::move(next);
-  next.clear();
-  auto upto = asked;
-  bytes += size;
-  size = 0;
-  ++syncs;
-  try {
-    co_await write(std::move(row));
-    sure = upto;
-  } catch (const std::exception&) {
-    bad = true;
+  while (true) {
+    // What failed stays first: nothing later may be on the disk without it.
+    for (auto& d : next) held.push_back(std::move(d));
+    next.clear();
+    auto upto = asked;
+    bytes += size;
+    size = 0;
+    ++syncs;
+    try {
+      co_await write(held);
+      sure = upto;
+      held.clear();
+      bad = false;
+    } catch (const std::exception&) {
+      bad = true;
+    }
+    if (!bad) break;
+    done.wake();
+    co_await rest(hub, pause);
   }
   busy = false;
   done.wake();
--- a/wax/host.hpp
+++ b/wax/host.hpp
@@ -78,7 +78,8 @@
     next.push_back({std::move(key), {}, true});
     ++asked;
   }
-  // Returns when all that was put or cut before the call is durable.
+  // Returns when all that was put or cut before the call is durable. Throws verdict("disk") once a write has failed; what
+  // it held stays first in line and is written again until the disk takes it, then syncs succeed again.
   auto sync() -> task<void>;
   [[nodiscard]] auto broken() const -> bool { return bad; }
   std::uint64_t syncs = 0, bytes = 0;
@@ -88,12 +89,12 @@
     std::string key, val;
     bool cut;
   };
-  virtual auto write(std::vector<deed> row) -> task<void> = 0;
+  virtual auto write(const std::vector<deed>& row) -> task<void> = 0;  // the row stays as it is until the task ends
   auto stop() -> void { home.clear(); }  // for the end of a real store, before what `write` works with
   loop& hub;
 
  private:
-  std::vector<deed> next;
+  std::vector<deed> next, held;  // held: with the disk now, or not taken by it
   std::uint64_t asked = 0, sure = 0;
   std::size_t size = 0;
   bool busy = false, bad = false;
