Leases under a new leader are given as soon as it is sure of its majority

Cause: after all machines were off, cells stood only 0.3 to 0.5 s after the ledger's leader. A queen asked the new leader at its next beat, a leader not settled yet was asked again a beat later, and a session that was being held did not end when a lease could be had. Change: swaps go out when the leader changes and, while it is not sure yet, each quarter of a beat; held sessions are answered once a lease can be had; a leader that settles says so.

--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -696,6 +696,7 @@
       auto r = log[static_cast<std::size_t>(i - base - 1)];
       auto out = sub(r.deed, "panel").is_array() ? tree(branch{{"ok", true}}) : law.apply(i, r.deed);
       applied = i;
+      if (role == part::lead && i == first_own && law.turned) law.turned();  // settled: it speaks for the majority now
       if (auto it = waits.find(i); it != waits.end()) {
         if (it->second->term == r.term) it->second->out = std::move(out);
         else it->second->lost = true;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -83,6 +83,12 @@
   return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32;
 }
 
+auto queen::lends(const std::string& name) const -> bool {
+  if (book.leads()) return sure();
+  auto it = guests.find(name);
+  return it != guests.end() && it->second.grant > h.now();
+}
+
 auto queen::ask(wire_ptr, tree t) -> task<tree> {
   auto op = str(t, "op");
   if (op.compare(0, 2, "l.") == 0) co_return co_await book.ask(op, std::move(t));
@@ -166,7 +172,8 @@
     return o;
   };
   auto out = lacks();
-  while (out.empty() && h.now() < end) {
+  auto lent = lends(row.name);  // a lease that can be had meanwhile is news as well
+  while (out.empty() && (lent || !lends(row.name)) && h.now() < end) {
     auto in_time = co_await news.wait(h, end);
     out = lacks();
     if (!in_time) break;
@@ -196,7 +203,8 @@
   auto told = std::int64_t{-1};
   while (queens().count(addr)) {
     auto sent = h.now();
-    auto fine = false;
+    auto fine = false, granted = false;
+    auto under = book.leader();
     try {
       auto names = std::vector<std::string>();
       auto live = branch();
@@ -217,19 +225,24 @@
       fine = true;
       told = num_or(r, "have", -1) == ver ? ver : -1;
       if (yes(r, "grant")) {
+        granted = true;
         wish.clear();
         for (const auto& m : list(r, "wish")) wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
         grant_need = std::max(grant_need, num(r, "need"));
         grant_cells = std::max(grant_cells, num(r, "cells"));
         for (const auto& n : names)
-          if (auto it = guests.find(n); it != guests.end()) it->second.grant = std::max(it->second.grant, sent + set.lease);
+          if (auto it = guests.find(n); it != guests.end()) {
+            if (it->second.grant < h.now()) news.wake();
+            it->second.grant = std::max(it->second.grant, sent + set.lease);
+          }
       }
     } catch (const verdict&) {
       told = -1;
     }
     auto changed = known.tables[source].ver;
-    auto end = sent + set.beat;
-    while (h.now() < end && (!fine || changed == told)) {
+    // A new leader is asked at once, and one that is not sure of its majority yet soon again: all leases wait for it.
+    auto end = sent + (fine && !granted && addr == book.leader() ? set.beat / 4 : set.beat);
+    while (h.now() < end && book.leader() == under && (!fine || changed == told)) {
       auto in_time = co_await news.wait(h, end);
       changed = known.tables[source].ver;
       if (!in_time) break;
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -51,6 +51,7 @@
   auto place() -> task<void>;
   auto refresh() -> void;  // the ledger moved: bring the view up to it
   [[nodiscard]] auto sure() const -> bool;
+  [[nodiscard]] auto lends(const std::string& name) const -> bool;  // could this node be given a lease here now?
   [[nodiscard]] auto lacking(const charter& next) const -> std::string;
   [[nodiscard]] auto live_combs() const -> std::map<std::string, seat>;
   // As those, with the combs of evacuated zones if the others stand in fewer than two localities.
