A lost disk is not waited for; after a start of all only the quiet is; early links wait a moment

Of what is ours: voters added chance of up to their quiet to the quiet itself; a cell that was opened looked at the ledger only a beat later; foragers turned away 742 links in the half second before their first lease, and those clients stay away for longer; and where a comb came back with another disk its cells waited for the silence of a member that was no more (1 s). Change: the first try of a voter's life goes by the order of the seats; the first look is taken at once; a link that comes while a node starts waits for the first lease, at most half of lose_ms, and is refused then as before; a node known to be back with another disk counts as gone, for the claim and for the pair. The quiet (4.4), the ledger's claim (5.3) and what is sent in step (6.5) are as they were.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -541,6 +541,18 @@
   return it != mates.end() && it->second.joined && h.now() - it->second.heard <= g.set.lose;
 }
 
+// Its node is back with another disk: that member is no more, and its silence need not be waited for.
+auto cell::disk_lost(const std::string& m) const -> bool {
+  auto back = false;
+  for (const auto& [q, t] : g.ses.known.tables) {
+    auto it = t.rows.find(name_of(m));
+    if (it == t.rows.end() || it->second.disk.empty()) continue;
+    if (it->second.member() == m) return false;
+    back = true;
+  }
+  return back;
+}
+
 auto cell::start_feed(const std::string& m) -> void {
   if (m.empty() || mates.count(m)) return;
   mates[m].heard = mates[m].since = h.now();
@@ -864,7 +876,8 @@
     const auto* s = g.ses.known.find(name_of(m));
     return s ? g.ses.known.leaves(*s) : g.ses.known.leavings.count(name_of(m)) > 0;
   };
-  auto lost_back = !row.back.empty() && !in_touch(row.back) && h.now() - mates[row.back].heard > g.set.lose;
+  auto silent = !row.back.empty() && !in_touch(row.back) && h.now() - mates[row.back].heard > g.set.lose;
+  auto lost_back = silent || disk_lost(row.back);
   if ((lost_back || doubtful()) && !waits.empty()) give_up("the second copy is out of reach");
   if (lost_back && !kept() && row.step.size() > 1) {
     auto next = row;
@@ -996,6 +1009,8 @@
         continue;
       } else if (row.prim == me()) {
         co_await claim(row.epoch == 1 ? "first start" : "its primary is back");
+      } else if (row.in_step(me()) && disk_lost(row.prim)) {
+        co_await claim("its primary's disk is lost");
       } else if (row.in_step(me()) && (lord_gone || h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience)) {
         co_await claim(lord_gone ? "its primary's process is gone" : "its primary is silent");
         patience = h.spread(g.set.beat);
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -96,6 +96,7 @@
   [[nodiscard]] auto lag_of(const mate& k) const -> tick;  // real-time lag of its replay
   [[nodiscard]] auto doubtful() const -> bool;  // is an output waiting for a copy that does not answer?
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
+  [[nodiscard]] auto disk_lost(const std::string& member) const -> bool;
   auto load() -> void;
   auto save() -> void;  // a capture to disk; entries before it go
   auto push(entry e) -> std::int64_t;
@@ -156,8 +157,8 @@
   double tokens = 0, peak = 0;
   tick paced = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
-  bool handing = false, hurry = false;
-  bool lord_gone = false;  // the primary's process is known to be dead
+  bool handing = false, hurry = true;  // the first look at the ledger's word is taken at once
+  bool lord_gone = false;              // the primary's process is known to be dead
   signal grown, rows_in, stir, dirty;
   nest home;
 };
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -312,7 +312,14 @@
 auto forager::attend(std::shared_ptr<talk> io) -> task<void> {
   auto d = std::make_shared<downstream>();
   d->io = io;
-  ever = ever || serves();
+  // One that only just starts is about to serve: who comes meanwhile waits for its lease, but not for long.
+  auto end = h.now() + set.lose / 2;
+  while (!ever && !going && h.now() < end && links.size() + early < static_cast<std::size_t>(set.links)) {
+    ++early;
+    co_await ses.news.wait(h, end);
+    --early;
+    ever = ever || serves();
+  }
   // One that has served keeps its links while a lease is lacking: each request is told so.
   if (!ever || links.size() >= static_cast<std::size_t>(set.links)) {
     auto first = co_await io->next(h.now() + set.lose);
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -79,6 +79,7 @@
   std::int64_t count = 0, judged = 0;
   std::uint64_t acked = 0, refused = 0, unclear = 0, delivered = 0;
   bool going = false, ever = false;
+  std::size_t early = 0;  // links that wait for the first lease
   std::size_t away_to = 0;  // links sent away so far: spreads them over the others
   nest home;
 };
--- a/forager/forager_test.cpp
+++ b/forager/forager_test.cpp
@@ -243,3 +243,27 @@
   LONGS_EQUAL(1, v.size());
   CHECK(str(v[0], "verdict") == "acked" || str(v[0], "verdict") == "unclear");  // unclear: it was on its way when the process died
 }
+// All clients come back at once after a loss of power; those turned away by a node that is a moment from its
+// lease would stay away for longer. Without a lease in sight they are told when to return.
+TEST(forager_seam, a_link_to_a_starting_node_waits_for_its_first_lease_and_not_for_long) {
+  auto b = seam();
+  CHECK(b.ok);
+  auto who = b.f.names("forager").at(0);
+  auto again = [&] {
+    b.f.kill(who);
+    b.f.start(who);
+    return b.open(0, "a");
+  };
+  auto t = again();
+  b.run(sec / 2);
+  LONGS_EQUAL(1, t->of("verdict", "enrol").size());
+  LONGS_EQUAL(0, t->of("verdict", "link").size());
+  for (auto& q : b.f.names("queen")) b.f.kill(q);
+  b.run(5 * sec);
+  auto late = again();
+  b.run(600 * msec);
+  auto v = late->of("verdict", "link");
+  LONGS_EQUAL(1, v.size());
+  STRCMP_EQUAL("not_ready", str(v[0], "code").c_str());
+  CHECK(num_or(v[0], "retry_ms", -1) >= 0);
+}
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -266,6 +266,7 @@
 
 // The one clock of the ledger: founding, elections, and a leader that lost its majority.
 auto ledger::clock() -> task<void> {
+  auto tried = false;
   while (true) {
     if (disk.broken() && role != part::lead) {  // it cannot vote, stand or enter: it listens
       co_await rest(h, set.beat);
@@ -287,17 +288,18 @@
       if (auto row = silent(set.lose * 5); settled() && !changing && panel.size() > seats_least && !row.empty()) home.spawn(unseat(row.front(), "has been silent for long"));
       continue;
     }
-    auto due = std::max(heard_lead, h.now() - heat) + heat + static_cast<tick>(h.below(static_cast<std::uint64_t>(heat)));
-    if (h.now() - orphaned < heat && h.now() - heard_lead >= heat) {
-      // Nobody's quiet to keep: at once, one after the other so that the votes do not split.
-      auto turn = std::find(panel.begin(), panel.end(), me) - panel.begin();
-      due = h.now() + turn * set.beat / 2 + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.beat / 4)));
-    }
+    // The first try of a life goes by the order of the seats: after a start of all, chance would only add to the quiet.
+    auto turn = std::find(panel.begin(), panel.end(), me) - panel.begin();
+    auto by_seat = turn * set.beat / 2 + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.beat / 4)));
+    auto due = std::max(heard_lead, h.now() - heat) + heat + (tried ? static_cast<tick>(h.below(static_cast<std::uint64_t>(heat))) : by_seat);
+    // Nobody's quiet to keep: at once, one after the other so that the votes do not split.
+    if (h.now() - orphaned < heat && h.now() - heard_lead >= heat) due = h.now() + by_seat;
     auto sooner = co_await pushed.wait(h, due);
     if (sooner) continue;
     if (role == part::lead || h.now() - heard_lead < heat) continue;
     if (!may_vote() || leaving || role == part::run) continue;
     if (!lead.empty()) follow(term, "");
+    tried = true;
     auto won = co_await run_for(true);
     // Perhaps its seat was given away while it was not there.
     if (!won && !entering && h.now() - heard_lead > set.lose * 2) home.spawn(enter_again());
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -277,6 +277,66 @@
   while (f.operating && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
   STRCMP_EQUAL("", who->c_str());
 }
+// A node that is back with another disk is known not to have its copy: neither a claim nor a new pair waits
+// for the silence of what is no more (design 6.5).
+TEST(protections, a_disk_known_to_be_lost_is_not_waited_for) {
+  for (auto led : {true, false}) {
+    auto f = fleet(28, quiet_shape());
+    CHECK(f.begin());
+    auto id = std::string("alerts/0");
+    auto lost = led ? f.primary_of(id) : f.backup_of(id);
+    auto left = led ? f.backup_of(id) : f.primary_of(id);
+    f.power("all", false);
+    f.lose_disk(lost);
+    f.power("all", true);
+    auto& c = *f.all.at(left)->c;
+    auto seen = never, whole = never;
+    auto end = f.world.clock + 10 * sec;
+    while (whole == never && f.world.clock < end) {
+      f.world.run(f.world.clock + 10 * msec);
+      const auto* s = c.ses.known.find(lost);
+      if (seen == never && c.ses.fresh() && s && !s->disk.empty()) seen = f.world.clock;
+      if (const auto* one = c.cell_at(id)) {
+        auto now = one->stand();
+        auto back = str(now, "back");
+        if (str(now, "role") == "primary" && yes(sub(sub(now, "copies"), back.c_str()), "joined")) {
+          const auto* b = c.ses.known.find(name_of(back));
+          if (b && b->member() == back) whole = f.world.clock;
+        }
+      }
+    }
+    CHECK(whole != never);
+    CHECK(whole - seen < f.all.at(left)->set.lose / 2);
+  }
+}
+// After a loss of all power: a leader as soon as the quiet is over, and cells led as soon as their combs hold the
+// ledger's word.
+TEST(protections, all_back_at_once_wait_for_the_quiet_and_little_else) {
+  for (auto seed : {31, 32, 33, 34, 35, 36}) {
+    auto f = fleet(static_cast<std::uint64_t>(seed), quiet_shape());
+    CHECK(f.begin());
+    auto set = f.all.at("queen-1")->set;
+    f.power("all", false);
+    f.power("all", true);
+    auto start = f.world.clock;
+    auto led = never;
+    auto fresh = std::map<std::string, tick>(), lives = fresh;
+    while (f.world.clock < start + 3 * sec) {
+      f.world.run(f.world.clock + 5 * msec);
+      if (led == never && !f.leader().empty()) led = f.world.clock;
+      for (const auto& n : f.names("comb")) {
+        auto& c = *f.all.at(n)->c;
+        if (c.ses.fresh()) fresh.emplace(n, f.world.clock);
+        for (const auto& [id, row] : c.ses.known.cells)
+          if (const auto* one = c.cell_at(id); one && one->live() && name_of(row.prim) == n) lives.emplace(n + " " + id, f.world.clock);
+      }
+    }
+    CHECK(led >= start + set.lose * 3 / 8);
+    CHECK(led < start + set.lose * 3 / 8 + set.beat);
+    CHECK(lives.size() >= 4);
+    for (const auto& [at, t] : lives) CHECK(t - fresh.at(at.substr(0, at.find(' '))) < set.beat / 2);
+  }
+}
 TEST_GROUP(disk_formats){};
 // The disks of the first landing's format, written by that version, open in this one.
 TEST(disk_formats, those_of_format_1_open) {
