A lease that is no longer renewed is sought elsewhere; cells are opened before the lease

Cause: where two localities lost each other, a queen cut off from the leader went on giving what was left of her leases (2.7 s), and her nodes stayed with her until those had ended and 1 s more. Change: a door counts as good only while it makes the lease longer, and is left after three quarters of lose_ms, which is sooner than the leader forgets its nodes. A comb opens the cells on its disk at its start, not with the first lease. Conclusion: a cut between two localities no longer costs a lease's length where a third sees both.

--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -87,8 +87,16 @@
   return *c;
 }
 
-// Opens the cells that the ledger gives to this comb.
+// Opens the cells that the ledger gives to this comb; those on its disk already while the ledger has no leader yet.
 auto comb::found() -> task<void> {
+  auto held = std::set<std::string>();
+  h.disk()->scan("C/", [&](const std::string& k, const std::string&) {
+    if (auto end = k.rfind(k.ends_with("/s") ? "/s" : "/e/"); end != std::string::npos && end > 2) held.insert(k.substr(2, end - 2));
+  });
+  for (const auto& id : held) {
+    add(id);
+    co_await nap(h, 0);
+  }
   while (true) {
     auto end = h.now() + set.beat;
     co_await ses.news.wait(h, end);
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -38,7 +38,8 @@
 }
 
 auto session::run() -> task<void> {
-  auto good = h.now();     // when this door last gave a lease
+  auto good = h.now();     // when this door last made the lease longer
+  auto top = tick{0};      // to when it ran then
   auto sent_up = h.now();  // when it last stood
   while (!gone) {
     if (!line) {
@@ -57,10 +58,14 @@
       auto had = leased();
       if (left > 0) {
         until = std::max(until, sent + left);
+        // A queen that is granted nothing more gives what is left of the old: that is not good.
+        if (sent + left > top + set.beat / 2) {
+          top = sent + left;
+          good = h.now();
+        }
         least = std::max(least, num_or(r, "need", 0));
         if (!ever) cells_need = num_or(r, "cells_need", 0);
         ever = true;
-        good = h.now();
       }
       take_queens(sub(r, "queens"));
       const auto& w = list(r, "wish");
@@ -70,10 +75,11 @@
     } catch (const verdict&) {
       failed = true;
     }
-    // A door that fell is left at once; one that stands but gives no lease, after a while.
+    // A door that fell is left at once; one that stands but makes the lease no longer, after a while: sooner
+    // than the leader forgets the nodes of a queen that it does not hear.
     auto fell = !line->up() && (h.now() - sent_up > set.beat * 2 || line->refused_at() > sent_up);
     if (line->up()) sent_up = h.now();
-    if ((fell || h.now() - good > set.lose) && doors.size() > 1) {
+    if ((fell || h.now() - good > set.lose * 3 / 4) && doors.size() > 1) {
       at = (at + 1) % doors.size();
       line->on_turn = nullptr;
       line->on_gone = nullptr;
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -337,6 +337,36 @@
     for (const auto& [at, t] : lives) CHECK(t - fresh.at(at.substr(0, at.find(' '))) < set.beat / 2);
   }
 }
+// A queen that the leader no longer grants leases to gives what is left of the old ones: who holds its session
+// with her takes another queen while its lease still runs, not after it has ended.
+TEST(protections, a_lease_that_is_no_longer_renewed_is_sought_elsewhere_before_it_ends) {
+  auto f = fleet(41, quiet_shape());
+  CHECK(f.begin());
+  auto lead = f.leader();
+  auto tried = 0;
+  for (const auto& n : f.names("scout")) {
+    auto& s = *f.all.at(n)->s;
+    auto queen = std::string();
+    for (const auto& q : f.names("queen"))
+      if (f.all.at(q)->set.addr == s.ses.door()) queen = q;
+    if (queen == lead) continue;
+    ++tried;
+    const auto& here = f.all.at(queen)->box->name;
+    const auto& there = f.all.at(lead)->box->name;
+    f.world.cut(here, there);
+    f.world.cut(there, here);
+    auto end = f.world.clock + 6 * sec;
+    auto lacked = tick{0};
+    while (f.world.clock < end) {
+      f.world.run(f.world.clock + 10 * msec);
+      if (!s.ses.leased()) lacked += 10 * msec;
+    }
+    CHECK(s.ses.door() != f.all.at(queen)->set.addr);
+    LONGS_EQUAL(0, lacked);
+    break;
+  }
+  LONGS_EQUAL(1, tried);
+}
 TEST_GROUP(disk_formats){};
 // The disks of the first landing's format, written by that version, open in this one.
 TEST(disk_formats, those_of_format_1_open) {
