--- a/scout/scout.cpp
+++ b/scout/scout.cpp
@@ -36,7 +36,9 @@
     auto vec = sub(t, "vec");
     auto end = came + set.beat / 2;
     auto out = ses.known.lacks(vec);
-    while (out.empty() && h.now() < end) {
+    auto can = [&] { return ses.leased() && ses.fresh(); };
+    auto had = can();
+    while (out.empty() && h.now() < end && (had || !can())) {  // a first lease is passed on at once
       auto in_time = co_await ses.news.wait(h, end);
       out = ses.known.lacks(vec);
       if (!in_time) break;
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -309,8 +309,8 @@
     CHECK(whole - seen < f.all.at(left)->set.lose / 2);
   }
 }
-// After a loss of all power: a leader as soon as the quiet is over, and cells led as soon as their combs hold the
-// ledger's word.
+// After a loss of all power: a leader as soon as the quiet is over, leases soon after, and cells led as soon as their
+// combs hold the ledger's word.
 TEST(protections, all_back_at_once_wait_for_the_quiet_and_little_else) {
   for (auto seed : {31, 32, 33, 34, 35, 36}) {
     auto f = fleet(static_cast<std::uint64_t>(seed), quiet_shape());
@@ -320,10 +320,12 @@
     f.power("all", true);
     auto start = f.world.clock;
     auto led = never;
-    auto fresh = std::map<std::string, tick>(), lives = fresh;
+    auto fresh = std::map<std::string, tick>(), lives = fresh, serves = fresh;
     while (f.world.clock < start + 3 * sec) {
       f.world.run(f.world.clock + 5 * msec);
       if (led == never && !f.leader().empty()) led = f.world.clock;
+      for (const auto& n : f.names("forager"))
+        if (f.all.at(n)->f->serves()) serves.emplace(n, f.world.clock);
       for (const auto& n : f.names("comb")) {
         auto& c = *f.all.at(n)->c;
         if (c.ses.fresh()) fresh.emplace(n, f.world.clock);
@@ -333,6 +335,8 @@
     }
     CHECK(led >= start + set.lose * 3 / 8);
     CHECK(led < start + set.lose * 3 / 8 + set.beat);
+    LONGS_EQUAL(3, serves.size());
+    for (const auto& [n, t] : serves) CHECK(t - led < set.beat * 3 / 2);
     CHECK(lives.size() >= 4);
     for (const auto& [at, t] : lives) CHECK(t - fresh.at(at.substr(0, at.find(' '))) < set.beat / 2);
   }
