--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -222,7 +222,7 @@
 }
 auto sim_host::on_touch() -> void { world.stirred.push_back(this); }
 auto sim_host::now() const -> tick { return world.clock; }
-auto sim_host::wall() const -> std::int64_t { return 1700000000000 + world.clock / msec; }
+auto sim_host::wall() const -> std::int64_t { return 1700000000000 + world.clock / msec + box.step; }
 auto sim_host::listen(const std::string& addr) -> std::unique_ptr<door> {
   if (world.doors.count(addr)) throw verdict("listen", addr + ": in use");
   return std::make_unique<sim_door>(*this, addr);
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -24,6 +24,7 @@
   std::string name, zone, ip;
   bool on = true;
   bool full = false;                          // its disk takes no more
+  std::int64_t step = 0;                      // milliseconds that its time of day is off; the steady clock is not
   double slow = 1;                            // how much slower than the others
   tick sync_cost = 3 * msec;
   double spikes = 0;                          // share of syncs that take up to `spike` more
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -15,7 +15,7 @@
 const auto verbs = std::map<std::string, std::size_t>{
     {"kill", 1}, {"start", 1}, {"term", 1}, {"freeze", 1}, {"power", 1}, {"cut", 2}, {"oneway", 2}, {"island", 1},
     {"losedisk", 1}, {"flip", 2}, {"reset", 1}, {"charter", 0}, {"stale", 0}, {"bad", 0}, {"race", 0}, {"leave", 2},
-    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"replace", 1}, {"riskdisk", 1}, {"riskflip", 2}};
+    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"replace", 1}, {"step", 2}, {"riskdisk", 1}, {"riskflip", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -301,6 +301,13 @@
         m->slow = number(a[1]);
         after(c.span, [m] { m->slow = 1; });
       }
+    } else if (c.verb == "step") {  // the time of day jumps by so many seconds, and back after the span
+      auto by = static_cast<std::int64_t>(number(a[1]) * 1000);
+      for (auto& n : who(a[0])) {
+        auto* m = f.all.at(n)->box;
+        m->step += by;
+        after(c.span, [m, by] { m->step -= by; });
+      }
     } else if (c.verb == "loss") {
       w.loss = number(a[0]);
       after(c.span, [this] { f.world.loss = f.form.loss; });
