A disk of another fleet's ledger is named and kept out

Cause: a queen started on such a disk, at a new address or at a voter's, was sent entries like any other, which wrote over its own ledger, and then could vote. Change: a ledger is named by the disk that led it first; who enters with another's is refused; appends and captures are addressed to a disk. Conclusion: ledgers of before take their name from the next leader.

--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -69,6 +69,7 @@
     base = num(t, "idx");
     base_term = num(t, "term");
     base_panel = to_panel(sub(t, "panel"));
+    base_realm = str_or(t, "realm");
     base_state = sub(t, "state");
     if (!base_state.is_null()) law.restore(base_state);
   }
@@ -100,6 +101,9 @@
 }
 auto ledger::seat() -> void {
   panel = panel_at(last());
+  realm = base_realm;
+  for (const auto& r : log)
+    if (realm.empty()) realm = str_or(r.deed, "realm");
 }
 auto ledger::panel_at(std::int64_t idx) const -> std::vector<voter> {
   auto out = base_panel;
@@ -111,6 +115,7 @@
   auto i = last() + 1;
   disk.put(slot(i), seal(branch{{"t", r.term}, {"d", r.deed}}));
   if (const auto& p = sub(r.deed, "panel"); p.is_array()) panel = to_panel(p);
+  if (realm.empty()) realm = str_or(r.deed, "realm");
   log.push_back(std::move(r));
   return i;
 }
@@ -160,7 +165,7 @@
   learners.clear();
   changing = false;
   hive::log(grade::note, set.name, "leads the ledger, term " + std::to_string(term));
-  first_own = append({term, branch{{"panel", to_tree(panel)}}});
+  first_own = append({term, branch{{"panel", to_tree(panel)}, {"realm", realm.empty() ? me.id : realm}}});
   home.spawn(settle());
   for (const auto& v : panel) {
     if (v == me) continue;
@@ -217,6 +222,13 @@
   return std::any_of(panel.begin(), panel.end(), [&](auto& v) { return v.addr == addr; });
 }
 
+auto ledger::disk_at(const std::string& addr) const -> std::string {
+  if (auto it = learners.find(addr); it != learners.end()) return it->second;
+  for (const auto& v : panel)
+    if (v.addr == addr) return v.id;
+  return {};
+}
+
 auto ledger::peers() const -> std::vector<std::string> {
   auto out = std::vector<std::string>();
   auto add = [&](const std::string& a) {
@@ -390,6 +402,8 @@
 
 auto ledger::on_append(tree t) -> task<tree> {
   auto their = num(t, "term");
+  // Meant for the disk that stood here before: what is on this one may be of another ledger.
+  if (auto to = str_or(t, "to"); !to.empty() && to != me.id) co_return answer(false);
   if (their < term) co_return answer(false);
   if (their > term || role != part::follow || lead != str(t, "lead")) follow(their, str(t, "lead"));
   heard_lead = h.now();
@@ -432,6 +446,7 @@
 
 auto ledger::on_capture(tree t) -> task<tree> {
   auto their = num(t, "term");
+  if (auto to = str_or(t, "to"); !to.empty() && to != me.id) co_return answer(false);
   if (their < term) co_return answer(false);
   follow(their, str(t, "lead"));
   heard_lead = h.now();
@@ -442,10 +457,11 @@
     base = idx;
     base_term = num(t, "idx_term");
     base_panel = to_panel(sub(t, "panel"));
+    base_realm = str_or(t, "realm");
     base_state = sub(t, "state");
     agreed = applied = solid = base;
     law.restore(base_state);
-    disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"state", base_state}}));
+    disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"realm", base_realm}, {"state", base_state}}));
     founded = true;
     keep_meta();
     seat();
@@ -466,6 +482,10 @@
     t.as_object()["op"] = "l.enter";
     co_return co_await ask_leader(t, h.now() + set.lose);
   }
+  if (auto theirs = str_or(t, "realm"); !theirs.empty() && !realm.empty() && theirs != realm) {
+    hive::log(grade::warn, set.name, who.addr + " has a disk of another fleet's ledger; it is not let in");
+    throw verdict("foreign", "the disk holds another fleet's ledger: empty the folder, or name its own fleet's seeds", ran::no);
+  }
   if (changing) throw verdict("busy", "another voter is being changed", ran::no, set.lose / msec);
   // Before an entry of its own term is agreed, voters of an earlier change may not be known here.
   if (!settled()) throw verdict("busy", "the leader is not settled yet", ran::no, set.beat / msec);
@@ -478,7 +498,7 @@
         auto old = *std::find_if(panel.begin(), panel.end(), [&](auto& v) { return v.addr == who.addr; });
         co_await unseat(old, "has another disk");
       }
-      if (role == part::lead && term == mine && learners.insert(who.addr).second) home.spawn(feed(who.addr, term));
+      if (role == part::lead && term == mine && learners.insert_or_assign(who.addr, who.id).second) home.spawn(feed(who.addr, term));
       auto end = h.now() + set.lose * 4;
       while (role == part::lead && term == mine && h.now() < end && (marks[who.addr].match < agreed)) co_await rest(h, set.beat);
       if (role != part::lead || term != mine || marks[who.addr].match < agreed) throw verdict("unclear", "the new voter did not catch up", ran::maybe, set.lose / msec);
@@ -522,7 +542,7 @@
 
 auto ledger::enter(std::string via) -> task<void> {
   try {
-    auto q = tree(branch{{"op", "l.enter"}, {"addr", me.addr}, {"id", me.id}});
+    auto q = tree(branch{{"op", "l.enter"}, {"addr", me.addr}, {"id", me.id}, {"realm", realm}});
     co_await reach(via).ask(std::move(q), h.now() + set.lose * 6);
   } catch (const verdict& v) {
     hive::log(grade::note, set.name, std::string("not yet a voter: ") + v.what());
@@ -587,7 +607,7 @@
 auto ledger::send_capture(std::string addr, std::int64_t t) -> task<void> {
   auto state = law.capture();
   auto idx = applied;
-  auto q = tree(branch{{"op", "l.capture"}, {"term", t}, {"lead", me.addr}, {"idx", idx}, {"idx_term", term_at(idx)}, {"panel", to_tree(panel_at(idx))}, {"state", std::move(state)}});
+  auto q = tree(branch{{"op", "l.capture"}, {"term", t}, {"lead", me.addr}, {"idx", idx}, {"idx_term", term_at(idx)}, {"to", disk_at(addr)}, {"panel", to_tree(panel_at(idx))}, {"realm", realm}, {"state", std::move(state)}});
   auto r = co_await reach(addr).ask(std::move(q), h.now() + set.lose);
   if (role != part::lead || term != t) co_return;
   if (num(r, "term") > term) co_return follow(num(r, "term"), "");
@@ -621,7 +641,7 @@
       }
       auto sent = h.now();
       auto upto = agreed;
-      auto q = tree(branch{{"op", "l.append"}, {"term", t}, {"lead", me.addr}, {"prev", prev}, {"prev_term", term_at(prev)}, {"commit", upto}, {"rows", std::move(rows)}});
+      auto q = tree(branch{{"op", "l.append"}, {"term", t}, {"lead", me.addr}, {"to", disk_at(addr)}, {"prev", prev}, {"prev_term", term_at(prev)}, {"commit", upto}, {"rows", std::move(rows)}});
       auto r = co_await reach(addr).ask(std::move(q), h.now() + heat);
       if (!mine()) break;
       auto seat_id = std::string();
@@ -719,6 +739,7 @@
   auto state = law.capture();
   auto t = term_at(upto);
   base_panel = panel_at(upto);
+  base_realm = realm;
   for (auto i = base + 1; i <= upto; ++i) {
     log.pop_front();
     disk.cut(slot(i));
@@ -726,7 +747,7 @@
   base = upto;
   base_term = t;
   base_state = std::move(state);
-  disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"state", base_state}}));
+  disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"realm", base_realm}, {"state", base_state}}));
   home.spawn(settle());
 }
 
@@ -777,8 +798,8 @@
       row["silent_ms"] = here ? 0 : it == marks.end() ? -1 : (h.now() - it->second.heard) / msec;
     };
     for (auto& r : rows) tell(r.as_object(), str(r, "addr"), "voter");
-    for (const auto& a : learners) {
-      auto row = branch{{"addr", a}, {"id", ""}};
+    for (const auto& [a, disk_there] : learners) {
+      auto row = branch{{"addr", a}, {"id", disk_there}};
       tell(row, a, "enters");
       rows.push_back(row);
     }
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -89,6 +89,7 @@
   auto enter(std::string via) -> task<void>;
   auto enter_again() -> task<void>;
   auto unseat(voter v, const char* why) -> task<void>;
+  [[nodiscard]] auto disk_at(const std::string& addr) const -> std::string;  // of the voter or learner there
   [[nodiscard]] auto seated(const std::string& addr) const -> bool;
   [[nodiscard]] auto peers() const -> std::vector<std::string>;  // seeds and voters, this one not among them
   [[nodiscard]] auto silent(tick span) const -> std::vector<voter>;  // leader only: not heard for so long, the longest first
@@ -115,6 +116,7 @@
   part role = part::follow;
   std::int64_t term = 0, base = 0, base_term = 0, agreed = 0, applied = 0, solid = 0;
   std::string voted, lead;
+  std::string realm, base_realm;  // the disk that led this ledger first names it
   std::deque<row> log;
   std::vector<voter> panel, base_panel;
   tree base_state;
@@ -124,7 +126,7 @@
   std::int64_t first_own = 0;  // index of the entry that opened this leadership
   std::map<std::string, mark> marks;
   std::map<std::int64_t, std::shared_ptr<wait>> waits;
-  std::set<std::string> learners;
+  std::map<std::string, std::string> learners;  // address and disk
   std::map<std::string, std::unique_ptr<colleague>> mates;
   signal grown, agreed_more, beat_in, pushed;
   bool changing = false, leaving = false, urged = false, entering = false;
--- a/ledger/ledger_test.cpp
+++ b/ledger/ledger_test.cpp
@@ -97,7 +97,7 @@
     f.remove(lost);
     go(f, 2 * sec);
     f.start(f.add_queen());
-    go(f, 8 * sec);
+    go(f, 2500 * msec);  // before the lost one would go by silence alone
     auto now = sorted(voters(f));
     CHECK(now.find("queen-4") != std::string::npos);
     CHECK(now.find(lost) == std::string::npos);
@@ -234,3 +234,38 @@
   LONGS_EQUAL(1, f.all.at(lead)->q->law.leavings.count("comb-2"));
   LONGS_EQUAL(1, f.all.at(lead)->q->law.leavings.count("comb-3"));
 }
+
+// A disk of another fleet: it is named and kept out, and nothing on it is touched.
+TEST_GROUP(ledger_strangers){};
+TEST(ledger_strangers, a_disk_of_another_fleet_is_not_let_in) {
+  auto foreign = std::map<std::string, std::string>();
+  {
+    auto other = fleet(31, queens(3));
+    start_all(other);
+    foreign = other.world.machines.at("q2")->solid;
+  }
+  auto f = fleet(32, queens(3));
+  start_all(f);
+  auto was = sorted(voters(f));
+  auto n = f.add_queen();
+  f.all.at(n)->box->solid = foreign;
+  f.start(n);
+  go(f, 10 * sec);
+  STRCMP_EQUAL(was.c_str(), sorted(voters(f)).c_str());
+  STRCMP_EQUAL(unseal(foreign.at("L/meta")).at("id").as_string().c_str(), f.all.at(n)->q->book.disk_id().c_str());
+  CHECK(!f.all.at(n)->q->book.leads());
+  // Nor does it take anything in the place of a voter that was lost.
+  auto lost = f.leader() == "queen-1" ? std::string("queen-2") : std::string("queen-1");
+  auto had = f.all.at(lost)->box->solid;
+  f.kill(lost);
+  f.all.at(lost)->box->solid = foreign;
+  f.start(lost);
+  go(f, 8 * sec);
+  STRCMP_EQUAL(was.c_str(), sorted(voters(f)).c_str());
+  CHECK(f.all.at(lost)->box->solid.at("L/e/0000000000000001") == foreign.at("L/e/0000000000000001"));
+  f.kill(lost);
+  f.all.at(lost)->box->solid = had;
+  f.start(lost);
+  go(f, 4 * sec);
+  STRCMP_EQUAL(was.c_str(), sorted(voters(f)).c_str());
+}
