A newcomer whose disk is full does not ask to enter

Whether the disk takes writes was only known after the first sync, so one that could not write asked to enter, and the leader waited for it to catch up while others were told that a change was under way. Change: the clock of the ledger begins with a sync. Measured: by test, another newcomer is seated within 1.5 s; it enters itself once there is room.

--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -279,6 +279,10 @@
 // The one clock of the ledger: founding, elections, and a leader that lost its majority.
 auto ledger::clock() -> task<void> {
   auto tried = false;
+  try {
+    co_await disk.sync();
+  } catch (const verdict&) {
+  }
   while (true) {
     if (disk.broken() && role != part::lead) {  // it cannot vote, stand or enter: it listens
       co_await rest(h, set.beat);
--- a/ledger/ledger_test.cpp
+++ b/ledger/ledger_test.cpp
@@ -269,3 +269,19 @@
   go(f, 4 * sec);
   STRCMP_EQUAL(was.c_str(), sorted(voters(f)).c_str());
 }
+
+// One that cannot write does not ask to enter: it would only keep others, who can, from entering meanwhile.
+TEST(ledger_disks, a_full_newcomer_keeps_nobody_waiting) {
+  auto f = fleet(14, queens(3));
+  start_all(f);
+  auto full = f.add_queen(), good = f.add_queen();
+  f.all.at(full)->box->full = true;
+  f.start(full);
+  go(f, 500 * msec);
+  f.start(good);
+  go(f, 1500 * msec);
+  STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-5 ", sorted(voters(f)).c_str());
+  f.all.at(full)->box->full = false;
+  go(f, 3 * sec);
+  STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-4 queen-5 ", sorted(voters(f)).c_str());
+}
