A beat is sent only where nothing came for two fifths of lose_ms

Cause: each link between processes asked for a sign of life every beat, also where answers and notes came anyway; between 74 foragers and 14 combs that alone was 10,360 beats a second and as many answers. Change: what comes is a sign of life; a beat is sent after two fifths of lose_ms of quiet. A link still falls when nothing came for lose_ms. Conclusion: a link that is at work costs no beats.

--- a/wax/colleague.cpp
+++ b/wax/colleague.cpp
@@ -180,14 +180,23 @@
   }
 }
 
+// What the other side sends anyway is a sign of life; asked for one it is only when that has been lacking.
 auto colleague::beats(wire_ptr w) -> task<void> {
+  auto asked = -never;
   while (w->live() && line == w) {
-    w->tell(branch{{"op", "beat"}, {"n", h.now()}});
-    co_await rest(h, set.beat);
-    if (h.now() - last > set.lose) {
+    auto now = h.now();
+    if (now - last > set.lose) {
       w->drop();
       break;
     }
+    auto gap = on ? std::max(set.lose * 2 / 5, set.beat) : set.beat;
+    auto due = std::max(on ? last : -never, asked) + gap;
+    if (now >= due) {
+      w->tell(branch{{"op", "beat"}, {"n", now}});
+      asked = now;
+      due = now + gap;
+    }
+    co_await nap(h, std::min(due, last + set.lose + 1));
   }
 }
 
