Nodes pull rows, and only those they need; sessions are paced and spread over all queens

Cause: a queen's whole table of sessions went to every node at each change of any row, about N squared rows at a start of 167 processes; each node asked 13 times a second; all nodes stood at the three seeds, and left a queen for the next one together. Change: each row has the version at which it changed, and one that went leaves a mark (256 a table). A node says what it needs (a comb combs, a forager also its zone's foragers, all if it is evacuated or alone); the rest is no news. Queens swap in the same steps and say who stands with them when that changes. A session's request is answered after a third of lose_ms without news; comings and goings are gathered. Nodes go over to new queens by chance, and from a silent one to any other. Time in which a queen was held up counts against no session. Who does not say what it needs gets whole tables, as before.

--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -37,6 +37,7 @@
     }
   };
   ses.me.kind = "comb";
+  ses.known.need = {"comb", c.zone};
   ses.me.disk = disk_id(h);
   ses.me.ready = true;
   ses.serving = [this] { return serving(); };
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -30,6 +30,11 @@
   std::snprintf(buf, sizeof buf, "%08llx", static_cast<unsigned long long>(h.chance() >> 32));
   mark = buf;
   ses.me.kind = "forager";
+  ses.known.need = {"forager", c.zone};
+  ses.serving = [this] {
+    row();
+    return ses.known.law ? ses.known.law->number : 0;
+  };
   if (!c.web.empty()) {
     auto p = pages();
     p.page = [this](request r) { return page(std::move(r)); };
@@ -460,12 +465,21 @@
     co_await rest(h, set.beat * 5);
     auto all = links;
     for (auto& [id, d] : all) say(d, branch{{"op", "beat"}});
-    ses.me.ready = ready();
-    ses.me.leaving = going;
-    ses.me.usage = static_cast<std::int64_t>(links.size());
   }
 }
 
+// What is told of this node. Where it may have to send links to other localities it asks for their foragers as
+// well: its zone is evacuated, or nobody else is there.
+auto forager::row() -> void {
+  ses.me.ready = ready();
+  ses.me.leaving = going;
+  ses.me.usage = static_cast<std::int64_t>(links.size());
+  auto seats = ses.known.all();
+  auto near = std::any_of(seats.begin(), seats.end(), [&](const auto& kv) { return kv.second.kind == "forager" && kv.second.zone == set.zone && kv.second.web != ses.me.web; });
+  if (near || !ses.fresh()) alone_since = h.now();
+  if (ses.known.evacuated(set.zone) || h.now() - alone_since > set.lose / 2) ses.known.need.wide = true;
+}
+
 // Tells a link where to go: a ready forager of this locality, another's if there is none.
 auto forager::send_away(const downstream_ptr& d) -> void {
   auto near = std::vector<std::string>(), far = near;
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -58,6 +58,7 @@
   auto open_sub(const std::string& sid, sub_row& r) -> void;
   auto tender() -> task<void>;
   auto beats() -> task<void>;
+  auto row() -> void;
   auto reach(const std::string& addr) -> colleague&;
   auto on_note(const std::string& addr, const tree& t) -> void;
   auto say(const downstream_ptr& d, const tree& t) -> void;
@@ -80,6 +81,7 @@
   std::uint64_t acked = 0, refused = 0, unclear = 0, delivered = 0;
   bool going = false, ever = false;
   std::size_t early = 0;  // links that wait for the first lease
+  tick alone_since = 0;  // when another forager of this zone was last known, or nothing yet
   std::size_t away_to = 0;  // links sent away so far: spreads them over the others
   nest home;
 };
--- a/guard/differ.cpp
+++ b/guard/differ.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "scout/view.hpp"
+
 namespace hive {
 namespace {
 
@@ -19,6 +21,11 @@
   return out;
 }
 
+// Does a node with these beliefs pull such a member at all (design 5.2)?
+auto needs(const tree& beliefs, const tree& member) -> bool {
+  return interest::from_tree(sub(beliefs, "need")).covers(str_or(member, "kind"), str_or(member, "zone"));
+}
+
 }  // namespace
 
 auto compare(const tree& a, const tree& b) -> std::vector<parting> {
@@ -44,6 +51,7 @@
   for (const auto& n : keys(sub(x, "members"), sub(y, "members"))) {
     const auto& p = sub(sub(x, "members"), n);
     const auto& q = sub(sub(y, "members"), n);
+    if (p.is_null() ? !needs(x, q) : !needs(y, p)) continue;
     if (p.is_null() != q.is_null()) out.push_back({"member " + n, p.is_null() ? "away" : "here", q.is_null() ? "away" : "here", false, -1});
   }
   for (const auto& n : keys(sub(x, "leavings"), sub(y, "leavings")))
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -6,6 +6,11 @@
 #include "wax/ring.hpp"
 
 namespace hive {
+namespace {
+
+constexpr auto usage_each = 10;  // swaps from one telling of usage to the next
+
+}  // namespace
 
 queen::queen(host& hh, const config& c)
     : book(hh, c,
@@ -38,7 +43,7 @@
   if (auto b = h.disk()->get("Q/boot")) boot = num(unseal(*b), "n");
   ++boot;
   h.disk()->put("Q/boot", seal(branch{{"n", boot}}));
-  known.tables[source].ver = boot << 32;
+  known.tables[source].ver = known.tables[source].floor = boot << 32;
   refresh();
   auto a = answers();
   a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
@@ -98,8 +103,7 @@
   if (op == "bye") {
     auto n = str(t, "name");
     if (guests.erase(n)) {
-      known.tables[source].rows.erase(n);
-      known.tables[source].ver = (boot << 32) + ++bump;
+      known.tables[source].cut(n, (boot << 32) + ++bump);
       news.wake();
     }
     if (!book.leads()) {
@@ -153,17 +157,21 @@
   auto& mine = known.tables[source];
   auto same = row;
   same.usage = g.row.usage;
-  if (!mine.rows.count(row.name) || same.to_tree() != g.row.to_tree()) {
-    mine.ver = (boot << 32) + ++bump;
+  auto held = mine.rows.find(row.name);
+  if (held == mine.rows.end() || same.to_tree() != g.row.to_tree()) {
+    mine.put(row, (boot << 32) + ++bump);
     news.wake();
+  } else {
+    held->second.usage = row.usage;  // no news to anyone
   }
   g.row = row;
-  mine.rows[row.name] = row;
   auto vec = sub(t, "vec");
-  auto end = came + set.beat / 2;
+  // A third of `lose` between two signs of life; sooner where the newest number is not yet reported.
+  auto span = law.law && g.charter < law.law->number ? set.beat / 2 : set.lose / 3;
+  auto end = came + span;
   auto had = num_or(t, "queens", 0);
-  auto lacks = [&] {
-    auto o = known.lacks(vec);
+  auto lacks = [&](bool settle) {
+    auto o = known.lacks(vec, settle);
     if (auto row = stands(); !row.empty() && mark_of(row) != had) {
       auto names = twigs();
       for (const auto& a : row) names.emplace_back(a);
@@ -171,13 +179,21 @@
     }
     return o;
   };
-  auto out = lacks();
+  auto out = lacks(false);
   auto lent = lends(row.name);  // a lease that can be had meanwhile is news as well
   while (out.empty() && (lent || !lends(row.name)) && h.now() < end) {
     auto in_time = co_await news.wait(h, end);
-    out = lacks();
+    out = lacks(false);
     if (!in_time) break;
   }
+  // Comings and goings are told of together; cells at once, but not each alone where many change; a charter at once.
+  auto since = h.now();
+  if (auto it = guests.find(row.name); it != guests.end() && !out.empty() && !out.contains("charter")) {
+    auto due = out.contains("cells") ? it->second.told + set.beat / 2 : since + set.beat / 2;
+    if (due > since) co_await nap(h, due);
+  }
+  out = lacks(true);
+  if (auto it = guests.find(row.name); it != guests.end() && out.contains("cells")) it->second.told = h.now();
   if (auto wishes = wishes_for(row.name); !wishes.empty()) out["wish"] = wishes;
   auto now = h.now();
   if (book.leads()) {
@@ -201,6 +217,10 @@
 // asker give leases to just those it has named.
 auto queen::swaps(std::string addr) -> task<void> {
   auto told = std::int64_t{-1};
+  auto steps = false;  // the other side takes steps
+  auto said = tree();  // the sessions it holds as standing, and the number they went under
+  auto said_ver = std::int64_t{0};
+  auto round = 0;
   while (queens().count(addr)) {
     auto sent = h.now();
     auto fine = false, granted = false;
@@ -210,20 +230,29 @@
       auto live = branch();
       for (const auto& [n, g] : guests) {
         if (sent - g.seen > set.lose) continue;
-        live[n] = branch{{"charter", g.charter}, {"usage", g.row.usage}};
+        live[n] = branch{{"charter", g.charter}};
         names.push_back(n);
       }
       const auto& mine = known.tables[source];
-      auto q = branch{{"op", "swap"}, {"from", source}, {"ver", mine.ver}, {"live", live}};
-      if (told != mine.ver) {
-        auto rows = twigs();
-        for (const auto& [n, s] : mine.rows) rows.push_back(s.to_tree());
-        q["rows"] = rows;
+      auto q = branch{{"op", "swap"}, {"from", source}, {"ver", mine.ver}};
+      if (said != tree(live)) {
+        q["live"] = live;
+        said_ver = (boot << 32) + ++lives;
       }
+      q["live_ver"] = said_ver;
+      if (round++ % usage_each == 0) {
+        auto use = branch();
+        for (const auto& n : names) use[n] = guests[n].row.usage;
+        q["usage"] = use;
+      }
+      if (auto some = mine.lacks(told, {}, steps, true); !some.is_null())
+        for (auto& kv : some.as_object()) q[kv.key()] = kv.value();
       auto ver = mine.ver;
       auto r = co_await book.reach(addr).ask(tree(std::move(q)), sent + set.budget);
       fine = true;
-      told = num_or(r, "have", -1) == ver ? ver : -1;
+      told = std::min(num_or(r, "have", -1), ver);
+      steps = yes(r, "steps");
+      said = num_or(r, "live_ver", 0) == said_ver ? tree(live) : tree();
       if (yes(r, "grant")) {
         granted = true;
         wish.clear();
@@ -238,6 +267,7 @@
       }
     } catch (const verdict&) {
       told = -1;
+      said = nullptr;
     }
     auto changed = known.tables[source].ver;
     // A new leader is asked at once, and one that is not sure of its majority yet soon again: all leases wait for it.
@@ -247,6 +277,8 @@
       changed = known.tables[source].ver;
       if (!in_time) break;
     }
+    // What changes together is told together.
+    if (auto soon = sent + set.beat / 2; h.now() < soon && book.leader() == under && (granted || addr != under)) co_await nap(h, soon);
   }
   swapping.erase(addr);
 }
@@ -254,28 +286,28 @@
 auto queen::on_swap(const tree& t) -> tree {
   auto from = str(t, "from");
   mates_seen[from] = h.now();
-  if (const auto& rows = sub(t, "rows"); rows.is_array()) {
-    auto& tab = known.tables[from];
-    if (num(t, "ver") > tab.ver) {
-      tab.ver = num(t, "ver");
-      tab.rows.clear();
-      for (const auto& r : rows.get_array()) {
-        auto s = seat::from_tree(r);
-        tab.rows[s.name] = s;
-      }
-      news.wake();
-    }
+  if (sub(t, "rows").is_array() && known.tables[from].merge(t)) news.wake();
+  auto out = branch{{"have", known.tables[from].ver}, {"steps", true}};
+  // Who stands there and what they serve is said when it changes; each swap says it anew, also without words. One
+  // that was overtaken on its way says nothing.
+  auto& there = standing[from];
+  auto live_ver = num_or(t, "live_ver", 0);
+  if (const auto& live = sub(t, "live"); live.is_object() && (live_ver > there.ver || live_ver == 0)) {
+    there = {live_ver, {}};
+    for (const auto& kv : live.get_object()) there.charters[std::string(kv.key())] = num_or(kv.value(), "charter", 0);
+  }
+  out["live_ver"] = there.ver;
+  if (there.ver != live_ver) return out;
+  if (const auto& use = sub(t, "usage"); use.is_object()) {
+    auto& rows = known.tables[from].rows;
+    for (const auto& kv : use.get_object())
+      if (auto it = rows.find(std::string(kv.key())); it != rows.end() && kv.value().is_int64()) it->second.usage = kv.value().get_int64();
   }
-  auto out = branch{{"have", known.tables[from].ver}};
-  const auto& live = sub(t, "live");
-  auto& rows = known.tables[from].rows;
-  for (const auto& kv : live.as_object())
-    if (auto it = rows.find(std::string(kv.key())); it != rows.end()) it->second.usage = num_or(kv.value(), "usage", 0);
   if (sure()) {
-    for (const auto& kv : live.as_object()) {
-      auto& g = grants[std::string(kv.key())];
+    for (const auto& [n, charter] : there.charters) {
+      auto& g = grants[n];
       g.until = std::max(g.until, h.now() + set.lease);
-      g.charter = num_or(kv.value(), "charter", 0);
+      g.charter = charter;
     }
     auto ws = twigs();
     for (const auto& m : wish) ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
@@ -290,24 +322,31 @@
 // Drops sessions and tables that have gone silent.
 auto queen::sweep() -> task<void> {
   while (true) {
-    co_await rest(h, set.beat);
+    auto due = h.now() + set.beat;
+    co_await nap(h, due);
     meet();
     auto now = h.now();
     auto& mine = known.tables[source];
     auto lost = false;
+    // Time in which this queen was held up counts against nobody: what came meanwhile is not read yet. Else a queen that
+    // is busy ends sessions that stand, and telling of it makes all queens busier.
+    if (auto late = now - due; late > set.beat / 2) {
+      for (auto& [n, g] : guests) g.seen = std::min(now, g.seen + late);
+      for (auto& [q, at] : mates_seen) at = std::min(now, at + late);
+    }
     for (auto it = guests.begin(); it != guests.end();) {
       if (now - it->second.seen > set.lose) {
         hive::log(grade::note, set.name, "session of " + it->first + " has ended");
-        mine.rows.erase(it->first);
+        mine.cut(it->first, (boot << 32) + ++bump);
         it = guests.erase(it);
         lost = true;
       } else {
         ++it;
       }
     }
-    if (lost) mine.ver = (boot << 32) + ++bump;
     for (auto it = known.tables.begin(); it != known.tables.end();) {
       if (it->first != source && now - mates_seen[it->first] > set.lose) {
+        standing.erase(it->first);
         it = known.tables.erase(it);
         lost = true;
       } else {
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -29,6 +29,7 @@
   struct guest {  // a session that stands here
     seat row;
     tick seen = 0;
+    tick told = -never;  // when it was last told of cells
     std::int64_t charter = 0;
     tick grant = 0;  // until when the leader lets this queen give it a lease
   };
@@ -75,6 +76,12 @@
   std::map<std::string, grant> grants;
   std::map<std::string, tick> mates_seen;
   std::set<std::string> swapping;  // the queens that a task swaps with
+  struct crowd {  // who stands at another queen, and what each serves
+    std::int64_t ver = 0;
+    std::map<std::string, std::int64_t> charters;
+  };
+  std::map<std::string, crowd> standing;
+  std::int64_t lives = 0;  // tellings of who stands here
   std::map<std::string, std::int64_t> drawn;
   std::int64_t grant_need = 0, grant_cells = 0, boot = 0, bump = 0;
   signal news;
--- a/scout/scout.cpp
+++ b/scout/scout.cpp
@@ -6,6 +6,7 @@
 
 scout::scout(host& hh, const config& c) : ses(hh, c, c.seeds), h(hh), set(c), home(hh) {
   ses.me.kind = "forager";
+  ses.known.need = {"forager", c.zone};
   // What the forager serves is reported, not what the scout has pulled; while
   // the forager is silent the old number stays, and so the new one has not taken hold.
   // One silent for longer than any lease it was given serves nothing.
@@ -34,7 +35,9 @@
     ses.me.addr = row.addr;
     confirmed = num_or(t, "charter", 0);
     auto vec = sub(t, "vec");
-    auto end = came + set.beat / 2;
+    // It pulls for the forager what the forager needs.
+    if (yes(sub(vec, "need"), "wide")) ses.known.need.wide = true;
+    auto end = came + set.lose / 3;
     auto out = ses.known.lacks(vec);
     auto can = [&] { return ses.leased() && ses.fresh(); };
     auto had = can();
@@ -43,6 +46,7 @@
       out = ses.known.lacks(vec);
       if (!in_time) break;
     }
+    out = ses.known.lacks(vec, true);
     if (ses.leased() && ses.fresh()) {
       out["lease"] = h.now() + ses.lease_left() - came;
       out["need"] = ses.need();
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -14,7 +14,7 @@
 }
 
 session::session(host& hh, const config& c, std::vector<std::string> d)
-    : h(hh), set(c), seeds(std::move(d)), doors(seeds), home(hh) {
+    : h(hh), set(c), seeds(std::move(d)), doors(seeds), met(seeds.begin(), seeds.end()), home(hh) {
   at = h.below(doors.size());
   me.name = c.name;
   me.zone = c.zone;
@@ -23,18 +23,35 @@
   home.spawn(run());
 }
 
-// The queens that stand now, as the ledger has them: the seeds may all be of another time (design 5.2).
+// The queens that stand now, as the ledger has them: the seeds may all be of another time (design 5.2). Among all
+// queens each door is as likely: one that is new to this node is gone over to by the chance that it would have
+// been chosen from the start. Not at once, since all nodes hear of it together (design 5.1).
 auto session::take_queens(const tree& row) -> void {
   if (!row.is_array() || row.get_array().empty()) return;
   auto here = doors[at];
+  auto fresh = std::vector<std::string>();
   queens.clear();
-  for (const auto& a : row.get_array()) queens.emplace_back(a.as_string());
+  for (const auto& a : row.get_array()) {
+    queens.emplace_back(a.as_string());
+    if (met.insert(queens.back()).second) fresh.push_back(queens.back());
+  }
   doors = queens;
   for (const auto& s : seeds)
     if (std::find(doors.begin(), doors.end(), s) == doors.end()) doors.push_back(s);
   auto it = std::find(doors.begin(), doors.end(), here);
   if (it == doors.end()) it = doors.insert(doors.end(), here);  // it just answered
   at = static_cast<std::size_t>(it - doors.begin());
+  if (fresh.empty() || h.below(doors.size()) >= fresh.size()) return;
+  move_to = fresh[h.below(fresh.size())];
+  move_at = h.now() + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.lose * 2)));
+}
+
+auto session::leave_door() -> void {
+  if (!line) return;
+  line->on_turn = nullptr;
+  line->on_gone = nullptr;
+  line->quit();
+  line.reset();
 }
 
 auto session::run() -> task<void> {
@@ -42,6 +59,14 @@
   auto top = tick{0};      // to when it ran then
   auto sent_up = h.now();  // when it last stood
   while (!gone) {
+    if (h.now() >= move_at) {
+      move_at = never;
+      if (auto to = std::find(doors.begin(), doors.end(), move_to); to != doors.end() && static_cast<std::size_t>(to - doors.begin()) != at) {
+        leave_door();
+        at = static_cast<std::size_t>(to - doors.begin());
+        good = sent_up = h.now();
+      }
+    }
     if (!line) {
       line = std::make_shared<colleague>(h, colleague::ways{set.name, doors[at], set.beat, set.lose});
       line->on_turn = [this](bool) { turned.wake(); };
@@ -80,16 +105,13 @@
     auto fell = !line->up() && (h.now() - sent_up > set.beat * 2 || line->refused_at() > sent_up);
     if (line->up()) sent_up = h.now();
     if ((fell || h.now() - good > set.lose * 3 / 4) && doors.size() > 1) {
-      at = (at + 1) % doors.size();
-      line->on_turn = nullptr;
-      line->on_gone = nullptr;
-      line->quit();
-      line.reset();
+      leave_door();
+      at = (at + 1 + h.below(doors.size() - 1)) % doors.size();  // each to another: what one queen had does not fall on the next
       good = sent_up = h.now();
     }
     if (!line) continue;
     if (failed) co_await turned.wait(h, h.now() + set.beat);
-    else co_await rest(h, set.beat / 4);
+    else co_await rest(h, h.now() - sent < set.beat / 2 ? set.beat / 4 : 0);
   }
 }
 
--- a/scout/session.hpp
+++ b/scout/session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,11 +41,14 @@
  private:
   auto run() -> task<void>;
   auto take_queens(const tree& row) -> void;
+  auto leave_door() -> void;
   host& h;
   config set;
   std::vector<std::string> seeds, queens, doors;  // doors: the queens last told of, then the seeds
+  std::set<std::string> met;  // all that were ever among the doors
   std::size_t at = 0;
-  tick until = 0;
+  tick until = 0, move_at = never;  // move_at: when the session goes over to `move_to`
+  std::string move_to;
   std::int64_t least = 0, cells_need = 0;
   bool ever = false;
   twigs wish;
--- a/swarm/capacity.cpp
+++ b/swarm/capacity.cpp
@@ -59,7 +59,7 @@
     f.boss = std::make_unique<keeper>(*f.outside, f.queen_webs, f.webs, f.log);
     charter();
     auto from = f.world.clock;
-    wait("cells are founded and all nodes know all", [&] { return whole(); });
+    wait("cells are founded and all nodes know all they need", [&] { return whole(); });
     founding = f.world.clock - from;
     callers();
     // Moves end, sessions and links are at their pace.
@@ -151,7 +151,7 @@
   }
   load at;
   fleet f;
-  tick founding = 0;  // from the first charter's hold until all cells stand and all nodes know all
+  tick founding = 0;  // from the first charter's hold until all cells stand and all nodes know all they need
 
  private:
   static auto form(const load& l) -> shape {
@@ -176,7 +176,8 @@
     auto known = [&](const view& v) {
       auto n = std::size_t{0};
       for (const auto& [q, t] : v.tables) n += t.rows.size();
-      return static_cast<std::int64_t>(n) >= at.combs() + at.foragers() && v.cells_ver == law.cells_ver;
+      auto needed = std::count_if(f.all.begin(), f.all.end(), [&](auto& e) { return (e.second->c || e.second->s) && v.need.covers(e.second->kind == "comb" ? "comb" : "forager", e.second->set.zone); });
+      return static_cast<std::int64_t>(n) >= needed && v.cells_ver == law.cells_ver;
     };
     return std::all_of(f.all.begin(), f.all.end(), [&](auto& e) {
       auto& p = *e.second;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -632,6 +632,9 @@
     }
   }
   auto after = cost();
+  auto each = [&](std::size_t i) { return static_cast<std::int64_t>((after[i] - before[i]) * sec / static_cast<std::uint64_t>(s.length)); };
+  counts["sends"] = each(0);  // each second
+  counts["wakes"] = each(3);
   counts["lag_ms"] = lag;
   counts["disk_rows"] = static_cast<std::int64_t>(rows);
   // Half of all runs close with one last fault: all power goes while callers are at it.
@@ -685,7 +688,6 @@
   auto facts = std::ostringstream();
   for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms", "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
     if (counts[k]) facts << k << ' ' << counts[k] << ' ';
-  auto each = [&](std::size_t i) { return (after[i] - before[i]) * sec / static_cast<std::uint64_t>(s.length); };
   facts << "sends/s " << each(0) << " kB/s " << each(1) / 1000 << " syncs/s " << each(2) << " wakes/s " << each(3) << ' ';
   facts << "steps " << f.world.steps;
   if (!out.bad.empty()) {
