Charters go to nodes deflated, without the text they were translated from

Cause: each node was sent the whole charter, origin included, over links of 4 Mbit/s; where that took longer than lose_ms the session fell and the charter was sent again by another queen, while the ledger's majority was out of reach behind it. Change: what the nodes need of a charter is deflated once (zlib) and handed on by scouts as it came. Queens, disks and nodes of an earlier landing have the whole as before.

--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -188,7 +188,7 @@
   }
   // Comings and goings are told of together; cells at once, but not each alone where many change; a charter at once.
   auto since = h.now();
-  if (auto it = guests.find(row.name); it != guests.end() && !out.empty() && !out.contains("charter")) {
+  if (auto it = guests.find(row.name); it != guests.end() && !out.empty() && !out.contains("charter") && !out.contains("packed")) {
     auto due = out.contains("cells") ? it->second.told + set.beat / 2 : since + set.beat / 2;
     if (due > since) co_await nap(h, due);
   }
--- a/scout/view.cpp
+++ b/scout/view.cpp
@@ -121,8 +121,11 @@
 
 auto view::lacks(const tree& vec, bool settle) const -> branch {
   auto out = branch();
-  const auto& said = sub(vec, "need");  // who says none is of an earlier landing, and knows no steps
-  if (law && law->number > num_or(vec, "charter", 0)) out["charter"] = law->body;
+  const auto& said = sub(vec, "need");  // who says none is of an earlier landing, and knows no steps and no packed charters
+  if (law && law->number > num_or(vec, "charter", 0)) {
+    if (said.is_object()) out["packed"] = law->packed();
+    else out["charter"] = law->body;
+  }
   if (auto had = num_or(vec, "cells", 0); cells_ver > had) {
     auto rows = branch();
     for (const auto& [id, r] : cells)
@@ -145,8 +148,10 @@
 
 auto view::merge(const tree& t) -> bool {
   auto fresh = false;
-  if (const auto& c = sub(t, "charter"); c.is_string()) {
-    auto next = compile(std::string(c.get_string()));
+  const auto& whole = sub(t, "charter");
+  const auto& packed = sub(t, "packed");
+  if (whole.is_string() || packed.is_string()) {
+    auto next = packed.is_string() ? compile_packed(std::string(packed.get_string())) : compile(std::string(whole.get_string()));
     if (!law || next->number > law->number) {
       law = next;
       fresh = true;
--- a/scout/view_test.cpp
+++ b/scout/view_test.cpp
@@ -50,6 +50,30 @@
   b.merge(old.lacks(b.vec()));
   CHECK(b.find("x") == nullptr);  // q1 is not known there any more
 }
+// Nodes get what they need of a charter, in few bytes; the text it was translated from stays with the queens.
+TEST(view_pulls, a_charter_comes_packed_and_without_its_origin) {
+  auto a = hive::view(), b = hive::view(), c = hive::view();
+  auto spaces = std::string();
+  for (auto i = 0; i < 1000; ++i) spaces += std::string(i ? "," : "") + R"({"name":"s)" + std::to_string(i) + R"(","pool":"p","cells":4,"urgency":3,"keep_s":35,"timeout_ms":1500})";
+  a.law = hive::compile(R"({"number":4,"origin":")" + std::string(50000, 'o') + R"(","spaces":[)" + spaces + "]}");
+  auto t = a.lacks(b.vec());
+  CHECK(hive::pack(t).size() < a.law->body.size() / 8);
+  CHECK(b.merge(t));
+  LONGS_EQUAL(4, b.law->number);
+  LONGS_EQUAL(1000, b.law->spaces.size());
+  STRCMP_EQUAL("", b.law->origin.c_str());
+  CHECK(c.merge(b.lacks(c.vec())));  // as the scout hands it on
+  LONGS_EQUAL(1000, c.law->spaces.size());
+  auto old = c.vec();
+  old.as_object().erase("need");
+  old.as_object()["charter"] = 3;
+  STRCMP_EQUAL(a.law->body.c_str(), std::string(a.lacks(old)["charter"].as_string()).c_str());
+  auto bad = t["packed"].as_string();
+  bad[bad.size() / 2] ^= 1;
+  auto d = hive::view();
+  CHECK_THROWS(hive::bad_bytes, d.merge(hive::branch{{"packed", bad}}));
+  CHECK_THROWS(hive::bad_bytes, d.merge(hive::branch{{"packed", "none"}}));
+}
 // A change costs its own row, whatever the fleet's size.
 TEST(view_pulls, only_the_rows_that_changed) {
   auto a = hive::view(), b = hive::view();
--- a/waggle/waggle.cpp
+++ b/waggle/waggle.cpp
@@ -1,8 +1,11 @@
 #include "waggle/waggle.hpp"
 
+#include <zlib.h>
+
 #include <boost/property_tree/json_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <functional>
 #include <set>
@@ -16,6 +19,7 @@
 using boost::property_tree::ptree;
 
 constexpr auto spaces_most = std::size_t{20000};
+constexpr auto lean_most = std::size_t{16} << 20;  // bytes of a charter out of its packing
 
 // Words of one rule, each with its column.
 struct word {
@@ -341,6 +345,42 @@
   return nullptr;
 }
 
+// Charters name many topics in the same words, and the links to nodes are small (design 5.2).
+auto charter::packed() const -> const std::string& {
+  if (!pack_kept.empty()) return pack_kept;
+  auto t = boost::json::parse(body);
+  t.as_object().erase("origin");
+  auto lean = boost::json::serialize(t);
+  auto size = ::compressBound(lean.size());
+  auto out = std::string(size, '\0');
+  if (::compress2(reinterpret_cast<Bytef*>(out.data()), &size, reinterpret_cast<const Bytef*>(lean.data()), lean.size(), Z_BEST_SPEED) != Z_OK)
+    throw verdict("busy", "a charter could not be deflated");
+  out.resize(size);
+  pack_kept = std::move(out);
+  return pack_kept;
+}
+
+auto compile_packed(const std::string& bytes) -> charter_ptr {
+  auto in = z_stream();
+  in.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+  in.avail_in = static_cast<uInt>(bytes.size());
+  if (::inflateInit(&in) != Z_OK) throw bad_bytes("no room to inflate a charter");
+  auto lean = std::string();
+  auto buf = std::array<char, 1 << 14>();
+  auto rc = Z_OK;
+  while (rc == Z_OK && lean.size() <= lean_most) {
+    in.next_out = reinterpret_cast<Bytef*>(buf.data());
+    in.avail_out = buf.size();
+    rc = ::inflate(&in, Z_NO_FLUSH);
+    lean.append(buf.data(), buf.size() - in.avail_out);
+  }
+  ::inflateEnd(&in);
+  if (rc != Z_STREAM_END) throw bad_bytes("a charter that does not inflate");
+  auto out = compile(lean);
+  out->took(bytes);
+  return out;
+}
+
 auto good_topic(const std::string& t) -> bool {
   return !t.empty() && t.size() <= 200 && std::all_of(t.begin(), t.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
