capacity_test: an idle link costs 2.5 beats a second, not ten

Cause: the test counted a beat each 100 ms on each link; beats are sent after two fifths of lose_ms of quiet now. Change: the count that is expected, in both directions as before: neither more nor less. Conclusion: it guards the lower cost.

--- a/swarm/capacity_test.cpp
+++ b/swarm/capacity_test.cpp
@@ -136,11 +136,11 @@
   CHECK(a.fleet["loss_bytes"] > 0);
   CHECK(a.fleet["charter_bytes"] >= a.fleet["charter_body"] / 2);
 }
-// A forager's idle frames are its beats to each comb: ten each way a second.
+// A forager's idle frames are its beats to each comb: one each two fifths of lose_ms (design 3.3).
 TEST(capacity_fleets, a_link_costs_its_beats) {
   auto few = measure({12, 4, 0, 0}, 1, sec), many = measure({20, 4, 0, 0}, 1, sec);
   auto more = static_cast<double>(load{20, 4, 0, 0}.combs() - load{12, 4, 0, 0}.combs());
-  DOUBLES_EQUAL(10 * more, many.roles["forager"]["frames_out"] - few.roles["forager"]["frames_out"], 1);
+  DOUBLES_EQUAL(2.5 * more, many.roles["forager"]["frames_out"] - few.roles["forager"]["frames_out"], 1);
 }
 TEST(capacity_fleets, messages_are_delivered_to_listeners) {
   auto r = measure({8, 4, 40, 32}, 1, 2 * sec);
