A copy is in step only with every entry of which an output has left

Cause: a pair was moved to a copy that was within 256 entries of the primary. Ruled out: the claim and the replay, which went by the row they were given. Change: the primary remembers the last entry of which an output left; a copy becomes in step only when it has acked that far, and from when it is near outputs want its ack too, so that this comes to an end.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -166,6 +166,7 @@
   while (!outs.empty() && outs.front().idx <= upto) {
     auto p = std::move(outs.front());
     outs.pop_front();
+    spoken = std::max(spoken, p.idx);
     dispatch(p);
   }
 }
@@ -664,6 +665,7 @@
   it->second.heard = h.now();
   it->second.got = std::max(it->second.got, num(t, "got"));
   it->second.done = std::max(it->second.done, num(t, "done"));
+  if (m == fresh_back && proving.count(m) && it->second.got >= spoken) stir.wake();
   release();
 }
 
@@ -705,6 +707,7 @@
 }
 
 auto cell::go_live() -> void {
+  spoken = last();  // by whoever led before
   // A cell founded again after all its copies were lost counts on above every
   // position it ever gave out, and knows nothing older (design 6.10).
   if (last() < row.root << 32) {
@@ -931,12 +934,17 @@
   }
   if (!fresh_back.empty()) {
     auto& k = mates[fresh_back];
-    if (in_touch(fresh_back) && std::min(k.got, k.done) >= last() - near_by) {
+    auto near = in_touch(fresh_back) && std::min(k.got, k.done) >= last() - near_by;
+    // From here on outputs want its ack too; it is in step only once it has all whose outputs
+    // left before: it may be alone with them a moment later (design 6.6).
+    if (near) proving.insert(fresh_back);
+    if (near && k.got < spoken) {
+      // on_ack tells when it has them
+    } else if (near) {
       auto next = row;
       auto mine = fresh_back;
       next.back = mine;
       next.step = {me(), mine};
-      proving.insert(mine);
       auto old = row.back;
       auto won = false;
       try {
@@ -1030,7 +1038,7 @@
   return branch{{"role", role == part::prim ? "primary" : role == part::back ? "backup" : "idle"}, {"epoch", row.epoch},
                 {"prim", row.prim}, {"back", row.back}, {"last", last()}, {"applied", applied}, {"solid", solid},
                 {"broken", broken}, {"share", share}, {"slowed", slowed}, {"stops", stops}, {"open", state.open.size()}, {"linked", wires.size()},
-                {"topics", state.topics.size()}, {"pending", outs.size()}, {"copies", ms}, {"charter", state.law}};
+                {"topics", state.topics.size()}, {"pending", outs.size()}, {"spoken", spoken}, {"copies", ms}, {"charter", state.law}};
 }
 
 }  // namespace hive
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -129,6 +129,7 @@
   hoard state;
   std::deque<entry> log;
   std::int64_t base = 0, base_epoch = 0, applied = 0, solid = 0, shelf = 0;
+  std::int64_t spoken = 0;  // the last entry of which an output has left: a copy that lacks it is not in step
   bool urgent = false;
   std::int64_t wipes = 0;  // a sync begun before one says nothing of what came after
   int inside = 0;  // joins and copies at work
