--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -485,3 +485,38 @@
     else CHECK(took < 150 * msec);
   }
 }
+// While a pair moves, the old copy's word still lets outputs out: the new one may claim a moment after
+// the ledger has it in step, so it must hold every entry of which one has left (design 6.6).
+TEST(protections, a_copy_in_step_has_all_that_was_said) {
+  auto shape_ = shape();
+  shape_.callers = 24;
+  shape_.every = 20 * msec;
+  shape_.pipeline = 8;
+  shape_.cells = 1;
+  shape_.keep_low = 35;
+  auto moves = 0;
+  for (auto seed : {41, 42}) {
+    auto f = fleet(static_cast<std::uint64_t>(seed), shape_);
+    CHECK(f.begin());
+    f.world.run(f.world.clock + sec);
+    auto id = std::string("alerts/0");
+    auto prim = f.primary_of(id), back = f.backup_of(id), late = std::string();
+    for (const auto& n : f.names("comb"))
+      if (n != prim && n != back) late = n;
+    f.all.at(late)->box->sync_cost = 60 * msec;  // the new copy trails behind the old one
+    f.operate([&](keeper& k) -> task<void> { return [](keeper& kk, std::string n) -> task<void> { co_await kk.leave(n, "drain", 10 * sec); }(k, back); });
+    auto end = f.world.clock + 8 * sec;
+    auto said = std::int64_t{0};
+    while (f.backup_of(id) != late && f.world.clock < end) {
+      if (const auto* c = f.all.at(prim)->c->cell_at(id); c && c->live()) said = num(c->stand(), "spoken");
+      f.world.run(f.world.clock + msec);
+    }
+    if (f.backup_of(id) != late || f.primary_of(id) != prim) continue;
+    ++moves;
+    const auto* has = f.all.at(late)->c->cell_at(id);
+    CHECK(has != nullptr);
+    CHECK(said > 0);
+    CHECK(num(has->stand(), "solid") >= said);
+  }
+  CHECK(moves >= 2);
+}
