--- a/apiary/main.cpp
+++ b/apiary/main.cpp
@@ -6,10 +6,10 @@
 #include <memory>
 #include <sstream>
 
+#include "queen/realm.hpp"
 #include "waggle/waggle.hpp"
 #include "wax/config.hpp"
 #include "wax/evhost.hpp"
-#include "queen/realm.hpp"
 #include "wax/http.hpp"
 
 namespace hive {
@@ -61,7 +61,8 @@
     auto cmd = w[0];
     auto arg = w.size() > 1 ? w[1] : "";
     auto whom = job.zone.empty() ? branch{{"name", arg}} : branch{{"zone", job.zone}};
-    if (cmd == "put") co_return co_await show("PUT", std::string("/v1/charter") + (job.dry ? "?dry=yes" : ""), slurp(arg));
+    if (cmd == "put")
+      co_return co_await show("PUT", std::string("/v1/charter") + (job.dry ? "?dry=yes" : ""), slurp(arg));
     if (cmd == "charter") co_return co_await show("GET", "/v1/charter", "");
     if (cmd == "members") co_return co_await show("GET", "/v1/members", "");
     if (cmd == "cells") co_return co_await show("GET", "/v1/cells", "");
@@ -105,8 +106,10 @@
       std::cerr << "nobody answered; the request may have run\n";
       return unreached;
     }
-    if (job.json || r.body.is_null()) std::cout << r.plain;
-    else lay(r.body, 0);
+    if (job.json || r.body.is_null())
+      std::cout << r.plain;
+    else
+      lay(r.body, 0);
     if (r.code == 200) return fine;
     return r.code == 504 || r.code == 503 ? unreached : refused;
   }
@@ -118,14 +121,16 @@
     if (t.is_object()) {
       for (const auto& kv : t.get_object()) {
         std::cout << pad << std::string(kv.key()) << ":";
-        if (small(kv.value())) std::cout << ' ' << flat(kv.value()) << '\n';
+        if (small(kv.value()))
+          std::cout << ' ' << flat(kv.value()) << '\n';
         else {
           std::cout << '\n';
           lay(kv.value(), deep + 1);
         }
       }
     } else if (t.is_array()) {
-      for (const auto& v : t.get_array()) std::cout << pad << "- " << flat(v) << '\n';
+      for (const auto& v : t.get_array())
+        std::cout << pad << "- " << flat(v) << '\n';
     } else {
       std::cout << pad << flat(t) << '\n';
     }
@@ -157,26 +162,30 @@
   auto* kind = static_cast<char*>(nullptr);
   auto* zone = static_cast<char*>(nullptr);
   auto json = 0, dry = 0, help = 0;
-  poptOption opts[] = {{"at", 'a', POPT_ARG_STRING, &at, 0, "HTTP addresses of queens (or of one node), commas between", "IP:PORT,..."},
-                       {"kind", 'k', POPT_ARG_STRING, &kind, 0, "of a leaving: drain, evacuate, retire", "KIND"},
-                       {"zone", 'z', POPT_ARG_STRING, &zone, 0, "a whole zone, in place of a name", "ZONE"},
-                       {"wait", 'w', POPT_ARG_INT, &job.wait, 0, "seconds to wait for it", "S"},
-                       {"json", 'j', POPT_ARG_NONE, &json, 0, "print the JSON as it came", nullptr},
-                       {"dry", 'n', POPT_ARG_NONE, &dry, 0, "change nothing", nullptr},
-                       {"help", 'h', POPT_ARG_NONE, &help, 0, "this text", nullptr},
-                       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
-  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
+  poptOption opts[] = {
+      {"at", 'a', POPT_ARG_STRING, &at, 0, "HTTP addresses of queens (or of one node), commas between", "IP:PORT,..."},
+      {"kind", 'k', POPT_ARG_STRING, &kind, 0, "of a leaving: drain, evacuate, retire", "KIND"},
+      {"zone", 'z', POPT_ARG_STRING, &zone, 0, "a whole zone, in place of a name", "ZONE"},
+      {"wait", 'w', POPT_ARG_INT, &job.wait, 0, "seconds to wait for it", "S"},
+      {"json", 'j', POPT_ARG_NONE, &json, 0, "print the JSON as it came", nullptr},
+      {"dry", 'n', POPT_ARG_NONE, &dry, 0, "change nothing", nullptr},
+      {"help", 'h', POPT_ARG_NONE, &help, 0, "this text", nullptr},
+      {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0),
+                                                                        &poptFreeContext);
   auto bad = [&](const std::string& why) {
     std::cerr << why << "\n\nusage: apiary --at IP:PORT,... COMMAND\n" << pages_text;
     return static_cast<int>(usage);
   };
-  if (auto r = poptGetNextOpt(ctx.get()); r < -1) return bad(std::string(poptBadOption(ctx.get(), 0)) + ": " + poptStrerror(r));
+  if (auto r = poptGetNextOpt(ctx.get()); r < -1)
+    return bad(std::string(poptBadOption(ctx.get(), 0)) + ": " + poptStrerror(r));
   if (help) {
     poptPrintHelp(ctx.get(), stdout, 0);
     std::cout << '\n' << pages_text;
     return fine;
   }
-  while (const auto* w = poptGetArg(ctx.get())) job.words.emplace_back(w);
+  while (const auto* w = poptGetArg(ctx.get()))
+    job.words.emplace_back(w);
   if (at) {
     auto in = std::istringstream(at);
     for (auto one = std::string(); std::getline(in, one, ',');) {
@@ -189,19 +198,22 @@
   if (kind) job.kind = kind;
   job.json = json != 0;
   job.dry = dry != 0;
-  const auto commands = std::map<std::string, std::size_t>{{"check", 1}, {"put", 1}, {"charter", 0}, {"held", 1}, {"leave", 1}, {"stay", 1}, {"refound", 1},
-                                                           {"leavings", 0}, {"members", 0}, {"cells", 0}, {"voters", 0}, {"status", 0}, {"ring", 0}};
+  const auto commands = std::map<std::string, std::size_t>{
+      {"check", 1},    {"put", 1},     {"charter", 0}, {"held", 1},   {"leave", 1},  {"stay", 1}, {"refound", 1},
+      {"leavings", 0}, {"members", 0}, {"cells", 0},   {"voters", 0}, {"status", 0}, {"ring", 0}};
   if (job.words.empty()) return bad("no command");
   auto it = commands.find(job.words[0]);
   if (it == commands.end()) return bad("'" + job.words[0] + "' is no command");
   auto wanted = it->second;
   if (zone && job.words[0] != "leave" && job.words[0] != "stay") return bad("zone: goes with leave and stay");
   if (zone) wanted = 0;
-  if (job.words.size() != wanted + 1) return bad("'" + job.words[0] + "' wants " + std::to_string(wanted) + " word(s) after it");
+  if (job.words.size() != wanted + 1)
+    return bad("'" + job.words[0] + "' wants " + std::to_string(wanted) + " word(s) after it");
   try {
     if (job.words[0] == "check") {
       auto c = compile(slurp(job.words[1]));
-      std::cout << "charter " << c->number << ": " << c->spaces.size() << " spaces, rules compiled to " << c->rules.size() << " steps\n";
+      std::cout << "charter " << c->number << ": " << c->spaces.size() << " spaces, rules compiled to "
+                << c->rules.size() << " steps\n";
       return fine;
     }
     if (job.at.empty()) return bad("at: is missing");
--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -9,7 +9,7 @@
 
 constexpr auto frame_bytes = std::size_t{256} << 10;
 constexpr auto rows_kept = std::size_t{1024};
-constexpr auto cut_by = 0.03;      // the slow loop moves the share by a few percent (paper 3.2)
+constexpr auto cut_by = 0.03;  // the slow loop moves the share by a few percent (paper 3.2)
 constexpr auto least_share = 0.05;
 constexpr auto near_by = std::int64_t{256};  // entries between a primary and a copy that may be its pair
 
@@ -20,8 +20,7 @@
 
 }  // namespace
 
-cell::cell(ground gg, std::string i)
-    : id(std::move(i)), g(std::move(gg)), h(g.h), disk(*h.disk()), home(h) {
+cell::cell(ground gg, std::string i) : id(std::move(i)), g(std::move(gg)), h(g.h), disk(*h.disk()), home(h) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
       std::rethrow_exception(e);
@@ -86,8 +85,10 @@
     disk.scan("C/" + id + "/", [&](const std::string& k, const std::string&) { keys.push_back(k); });
   } catch (const bad_bytes&) {
   }
-  for (auto& k : keys) disk.cut(k);
-  for (auto i = shelf + 1; i <= last(); ++i) disk.cut(key(i));  // put, perhaps not yet synced
+  for (auto& k : keys)
+    disk.cut(k);
+  for (auto i = shelf + 1; i <= last(); ++i)
+    disk.cut(key(i));  // put, perhaps not yet synced
   ++wipes;
   log.clear();
   state = hoard();
@@ -105,8 +106,10 @@
 
 auto cell::save() -> void {
   if (log.size() < rows_kept * 2) return;
-  disk.put("C/" + id + "/s", seal(branch{{"format", 1}, {"idx", applied}, {"epoch", epoch_at(applied)}, {"state", state.capture()}}));
-  for (auto i = shelf + 1; i <= applied; ++i) disk.cut(key(i));
+  disk.put("C/" + id + "/s",
+           seal(branch{{"format", 1}, {"idx", applied}, {"epoch", epoch_at(applied)}, {"state", state.capture()}}));
+  for (auto i = shelf + 1; i <= applied; ++i)
+    disk.cut(key(i));
   shelf = applied;
   while (log.size() > rows_kept && base < applied) {
     base_epoch = log.front().epoch;
@@ -124,9 +127,11 @@
     idx = push({row.epoch, i + 1 == ops.size(), ops[i], h.now()});
     auto o = state.apply(idx, ops[i]);
     applied = idx;
-    for (auto& one : o) row_outs.push_back(std::move(one));
+    for (auto& one : o)
+      row_outs.push_back(std::move(one));
   }
-  for (auto& o : row_outs) outs.push_back({idx, std::move(o), nullptr, {}});
+  for (auto& o : row_outs)
+    outs.push_back({idx, std::move(o), nullptr, {}});
   grown.wake();
   save();
 }
@@ -156,7 +161,8 @@
     out = std::min(out, it == mates.end() ? -1 : it->second.got);
   };
   if (!row.back.empty()) count(row.back);
-  for (const auto& m : proving) count(m);
+  for (const auto& m : proving)
+    count(m);
   return out;
 }
 
@@ -200,12 +206,24 @@
         w->drop();  // it comes back and resumes by position
         continue;
       }
-      w->tell(branch{{"op", "got"}, {"i", ids}, {"t", o.topic}, {"pos", o.pos}, {"d", o.msg.from}, {"s", o.msg.seq}, {"b", o.msg.body}, {"w", o.msg.wall}});
+      w->tell(branch{{"op", "got"},
+                     {"i", ids},
+                     {"t", o.topic},
+                     {"pos", o.pos},
+                     {"d", o.msg.from},
+                     {"s", o.msg.seq},
+                     {"b", o.msg.body},
+                     {"w", o.msg.wall}});
     }
   } else if (o.what == output::kind::opened || o.what == output::kind::gone) {
     auto it = wires.find(o.ids[0]);
     if (it == wires.end() || p.idx < it->second.from) return;
-    it->second.w->tell(branch{{"op", "subbed"}, {"i", o.ids[0]}, {"n", it->second.turn}, {"ok", o.what == output::kind::opened}, {"pos", o.pos}, {"code", o.what == output::kind::gone ? "gone" : "ok"}});
+    it->second.w->tell(branch{{"op", "subbed"},
+                              {"i", o.ids[0]},
+                              {"n", it->second.turn},
+                              {"ok", o.what == output::kind::opened},
+                              {"pos", o.pos},
+                              {"code", o.what == output::kind::gone ? "gone" : "ok"}});
     if (o.what == output::kind::gone) wires.erase(it);
   }
 }
@@ -237,8 +255,10 @@
     case standing::below:
       return refuse({"below", "a higher sequence number was accepted already", ran::no});
     case standing::repeat:
-      if (doubtful()) refuse({"unclear", "accepted here, the second copy does not answer: send it again", ran::maybe, again});
-      else if (auto it = waits.find(k); it != waits.end()) it->second.push_back(s);
+      if (doubtful())
+        refuse({"unclear", "accepted here, the second copy does not answer: send it again", ran::maybe, again});
+      else if (auto it = waits.find(k); it != waits.end())
+        it->second.push_back(s);
       else if (applied > safe() && kept() && (row.back.empty() || !in_touch(row.back)))
         refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, again});
       else {
@@ -246,10 +266,12 @@
         release();
       }
       return;
-    case standing::fresh: break;
+    case standing::fresh:
+      break;
   }
   if (handing) return refuse({"moving", id + " is changing hands", ran::no, g.set.beat / msec});
-  if (kept() && (row.back.empty() || !in_touch(row.back))) return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
+  if (kept() && (row.back.empty() || !in_touch(row.back)))
+    return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
   // The buffer towards the backup is full: the primary stops (paper 3.2).
   if (auto it = mates.find(row.back); it != mates.end()) {
     auto bytes = std::size_t{0};
@@ -293,11 +315,13 @@
 auto cell::subscribe(const tree& t, const wire_ptr& w) -> void {
   auto sid = str(t, "i");
   if (role != part::prim || handing) {
-    w->tell(branch{{"op", "subbed"}, {"i", sid}, {"n", num_or(t, "n", 0)}, {"ok", false}, {"code", "not_here"}, {"pos", 0}});
+    w->tell(branch{
+        {"op", "subbed"}, {"i", sid}, {"n", num_or(t, "n", 0)}, {"ok", false}, {"code", "not_here"}, {"pos", 0}});
     return;
   }
   if (num(t, "a") > applied) {
-    w->tell(branch{{"op", "subbed"}, {"i", sid}, {"n", num_or(t, "n", 0)}, {"ok", false}, {"code", "ahead"}, {"pos", applied}});
+    w->tell(branch{
+        {"op", "subbed"}, {"i", sid}, {"n", num_or(t, "n", 0)}, {"ok", false}, {"code", "ahead"}, {"pos", applied}});
     return;
   }
   // Asked again over the same link while the answer waits for its output: that answer
@@ -305,7 +329,9 @@
   auto turn = num_or(t, "n", 0);
   // And one of an earlier opening may come late, over a link that was given up since.
   // A forager of the first landing does not count: each of its asks is an opening.
-  if (auto it = wires.find(sid); turn > 0 && it != wires.end() && (it->second.turn > turn || (it->second.w == w && it->second.turn == turn))) return;
+  if (auto it = wires.find(sid);
+      turn > 0 && it != wires.end() && (it->second.turn > turn || (it->second.w == w && it->second.turn == turn)))
+    return;
   wires[sid] = {w, last() + 1, turn};
   lonely.erase(sid);
   operate({branch{{"k", "s"}, {"i", sid}, {"t", str(t, "t")}, {"d", str(t, "d")}, {"a", num(t, "a")}}});
@@ -329,7 +355,8 @@
   auto gone = it != state.topics.end() && after < it->second.floor;
   if (it != state.topics.end())
     for (const auto& m : it->second.kept)
-      if (m.pos > after && rows.size() < 1000) rows.push_back(branch{{"pos", m.pos}, {"from", m.from}, {"seq", m.seq}, {"body", m.body}, {"at", m.wall}});
+      if (m.pos > after && rows.size() < 1000)
+        rows.push_back(branch{{"pos", m.pos}, {"from", m.from}, {"seq", m.seq}, {"body", m.body}, {"at", m.wall}});
   auto out = branch{{"rows", rows}, {"expired", gone}, {"pos", applied}};
   outs.push_back({applied, {}, s, out});
   release();
@@ -346,7 +373,8 @@
   auto who = std::set<std::string_view>();
   if (auto it = state.topics.find(str(t, "t")); it != state.topics.end())
     for (const auto& sid : it->second.open)
-      if (auto l = lonely.find(sid); l == lonely.end() || h.now() - l->second < g.set.lose) who.insert(state.open.at(sid).who);
+      if (auto l = lonely.find(sid); l == lonely.end() || h.now() - l->second < g.set.lose)
+        who.insert(state.open.at(sid).who);
   outs.push_back({applied, {}, s, branch{{"count", who.size()}}});
   release();
 }
@@ -365,9 +393,11 @@
 // Flushes to the own disk, grouped; entries that only tell the time may wait a beat.
 auto cell::settle() -> task<void> {
   while (true) {
-    while (solid >= last()) co_await dirty.wait(h);
+    while (solid >= last())
+      co_await dirty.wait(h);
     auto end = h.now() + g.set.beat;
-    while (!urgent && h.now() < end) co_await dirty.wait(h, end);
+    while (!urgent && h.now() < end)
+      co_await dirty.wait(h, end);
     urgent = false;
     auto upto = last();
     auto top = epoch_at(upto);
@@ -382,13 +412,16 @@
       auto was = std::exchange(broken, true);
       halt("disk: " + fault);
       spill("the disk of " + g.set.name + " fails");
-      while (disk.broken()) co_await rest(h, g.set.beat);
+      while (disk.broken())
+        co_await rest(h, g.set.beat);
       if (!was) broken = false;  // it has taken everything since, in order
       continue;
     }
     if (era == wipes && upto <= last() && epoch_at(upto) == top) solid = std::max(solid, upto);
-    if (role == part::prim) release();
-    else if (role == part::back) ack(false);
+    if (role == part::prim)
+      release();
+    else if (role == part::back)
+      ack(false);
   }
 }
 
@@ -405,7 +438,8 @@
 }  // namespace
 
 auto cell::spent() const -> bool {
-  return role != part::prim && inside == 0 && row.epoch > 0 && !row.holds(me()) && h.now() - std::max({heard, born_at, back_at}) > g.set.lose * 5;
+  return role != part::prim && inside == 0 && row.epoch > 0 && !row.holds(me()) &&
+         h.now() - std::max({heard, born_at, back_at}) > g.set.lose * 5;
 }
 
 auto cell::on_join(tree t) -> task<tree> {
@@ -433,7 +467,8 @@
 
 auto cell::on_copy(tree t) -> task<tree> {
   auto here = visit(inside);
-  if (num(t, "epoch") != lord_epoch || str(t, "from") != lord || role != part::back) throw verdict("old", "another primary is followed");
+  if (num(t, "epoch") != lord_epoch || str(t, "from") != lord || role != part::back)
+    throw verdict("old", "another primary is followed");
   heard = h.now();
   if (num(t, "part") == 0) copy_part.clear();
   copy_part += str(t, "bytes");
@@ -461,7 +496,13 @@
 auto cell::on_log(const wire_ptr& w, const tree& t) -> void {
   if (role != part::back || num(t, "epoch") != lord_epoch || str(t, "from") != lord) {
     // A lower epoch is refused: a thawed primary gets no ack and sends nothing.
-    w->tell(branch{{"op", "c.ack"}, {"cell", id}, {"me", me()}, {"epoch", num(t, "epoch")}, {"nack", true}, {"got", -1}, {"done", -1}});
+    w->tell(branch{{"op", "c.ack"},
+                   {"cell", id},
+                   {"me", me()},
+                   {"epoch", num(t, "epoch")},
+                   {"nack", true},
+                   {"got", -1},
+                   {"done", -1}});
     return;
   }
   lord_wire = w;
@@ -479,8 +520,10 @@
     push({num(r, "v"), yes(r, "g"), sub(r, "e"), h.now()});
     any = true;
   }
-  if (any) rows_in.wake();
-  else ack(false);
+  if (any)
+    rows_in.wake();
+  else
+    ack(false);
 }
 
 auto cell::on_wait(std::int64_t epoch) -> void {
@@ -505,7 +548,13 @@
 
 auto cell::ack(bool nack) -> void {
   if (!lord_wire) return;
-  lord_wire->tell(branch{{"op", "c.ack"}, {"cell", id}, {"me", me()}, {"epoch", lord_epoch}, {"nack", nack}, {"got", solid}, {"done", applied}});
+  lord_wire->tell(branch{{"op", "c.ack"},
+                         {"cell", id},
+                         {"me", me()},
+                         {"epoch", lord_epoch},
+                         {"nack", nack},
+                         {"got", solid},
+                         {"done", applied}});
 }
 
 // Consumes the buffer up to its last go-live point, then stalls (paper 2.4, 3.2).
@@ -580,7 +629,8 @@
       auto theirs = num(r, "last");
       // One that would have long to replay is sooner whole with a copy.
       auto done = num(r, "applied");
-      auto match = !yes(r, "broken") && last() - done <= near_by && theirs >= base && theirs <= last() && epoch_at(theirs) == num(r, "epoch");
+      auto match = !yes(r, "broken") && last() - done <= near_by && theirs >= base && theirs <= last() &&
+                   epoch_at(theirs) == num(r, "epoch");
       if (!match) {
         // The state is captured between two operations; the cell goes on meanwhile (paper 3.1).
         auto idx = applied;
@@ -594,7 +644,13 @@
         for (auto at = std::size_t{0}, part = std::size_t{0}; at < hex.size() || part == 0; ++part) {
           auto bit = hex.substr(at, frame_bytes);
           at += bit.size();
-          auto p = tree(branch{{"op", "c.copy"}, {"cell", id}, {"epoch", e}, {"from", me()}, {"part", part}, {"bytes", bit}, {"end", at >= hex.size()}});
+          auto p = tree(branch{{"op", "c.copy"},
+                               {"cell", id},
+                               {"epoch", e},
+                               {"from", me()},
+                               {"part", part},
+                               {"bytes", bit},
+                               {"end", at >= hex.size()}});
           co_await c.ask(std::move(p), h.now() + g.set.lose);
           if (!on()) co_return;
           mates[m].heard = h.now();
@@ -630,9 +686,17 @@
           rows.push_back(branch{{"v", en.epoch}, {"g", en.go}, {"e", en.e}});
           ++k.next;
         }
-        c.tell(branch{{"op", "c.log"}, {"cell", id}, {"epoch", e}, {"from", me()}, {"prev", prev}, {"prev_epoch", epoch_at(prev)}, {"rows", std::move(rows)}});
-        if (k.next > last() || held) co_await grown.wait(h, h.now() + g.set.beat);
-        else co_await nap(h, 0);
+        c.tell(branch{{"op", "c.log"},
+                      {"cell", id},
+                      {"epoch", e},
+                      {"from", me()},
+                      {"prev", prev},
+                      {"prev_epoch", epoch_at(prev)},
+                      {"rows", std::move(rows)}});
+        if (k.next > last() || held)
+          co_await grown.wait(h, h.now() + g.set.beat);
+        else
+          co_await nap(h, 0);
       }
       // The same for the other side: a killed backup closes its link at once.
       if (on() && !c.up()) mates[m].heard = std::min(mates[m].heard, h.now() - g.set.lose + g.set.beat * 2);
@@ -715,7 +779,8 @@
     base = shelf = applied = solid = row.root << 32;
     base_epoch = row.root;
     state.root = base;
-    disk.put("C/" + id + "/s", seal(branch{{"format", 1}, {"idx", base}, {"epoch", base_epoch}, {"state", state.capture()}}));
+    disk.put("C/" + id + "/s",
+             seal(branch{{"format", 1}, {"idx", base}, {"epoch", base_epoch}, {"state", state.capture()}}));
   }
   // All up to the last go-live point has been replayed (paper 2.3); the rest is cut off.
   while (last() > base && !log.back().go) {
@@ -735,8 +800,10 @@
   handing = false;
   share = 1;
   clock_at = paced = window = h.now();
-  for (const auto& [sid, l] : state.open) lonely[sid] = h.now();
-  hive::log(grade::note, g.set.name, id + ": live at epoch " + std::to_string(row.epoch) + ", entry " + std::to_string(last()));
+  for (const auto& [sid, l] : state.open)
+    lonely[sid] = h.now();
+  hive::log(grade::note, g.set.name,
+            id + ": live at epoch " + std::to_string(row.epoch) + ", entry " + std::to_string(last()));
   auto ops = std::vector<tree>{branch{{"k", "v"}, {"e", row.epoch}, {"m", me()}}};
   if (auto l = law_entry()) ops.push_back(*l);
   operate(std::move(ops));
@@ -814,7 +881,8 @@
         return false;
       };
       rows_in.wake();
-      for (auto told = h.now() - g.set.beat; role != part::prim && row.epoch == mine && left(); co_await rest(h, g.set.beat / 50)) {
+      for (auto told = h.now() - g.set.beat; role != part::prim && row.epoch == mine && left();
+           co_await rest(h, g.set.beat / 50)) {
         if (h.now() - told < g.set.beat) continue;
         // A long replay is no silence: without a word the pair would claim in turn, and so on for ever.
         told = h.now();
@@ -824,8 +892,9 @@
       }
       if (role == part::prim || row.epoch != mine) co_return;
       go_live();
-      hive::log(grade::note, g.set.name, id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
-      hurry = true;  // its new pair is sought at once
+      hive::log(grade::note, g.set.name,
+                id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
+      hurry = true;                         // its new pair is sought at once
       if (was_silent) barred.insert(gone);  // not to be drawn before it is heard again
       // The silence that led to the claim counts against the other copy too.
       if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
@@ -856,7 +925,8 @@
   auto drop = std::vector<std::string>();
   for (auto& [sid, at] : lonely)
     if (h.now() - at > g.set.resend) drop.push_back(sid);
-  for (auto& sid : drop) finish(sid);
+  for (auto& sid : drop)
+    finish(sid);
   start_feed(row.back);
 
   // Gradual slowing by the real-time lag of replay.
@@ -913,7 +983,8 @@
   if (want && fresh_back.empty()) {
     auto bar = twigs{me()};  // members, not names: a lost disk's successor may be drawn
     if (!row.back.empty()) bar.emplace_back(row.back);
-    for (const auto& n : barred) bar.emplace_back(n);
+    for (const auto& n : barred)
+      bar.emplace_back(n);
     auto q = tree(branch{{"op", "draw"}, {"cell", id}, {"zone", g.set.zone}, {"not", bar}});
     try {
       auto r = co_await g.ses.ask(std::move(q), h.now() + g.set.budget);
@@ -950,8 +1021,10 @@
       try {
         won = co_await propose(next, "redundancy restored");
       } catch (const verdict& v) {
-        if (v.run != ran::no) unsure = row.epoch;
-        else if (unsure != row.epoch) proving.clear();
+        if (v.run != ran::no)
+          unsure = row.epoch;
+        else if (unsure != row.epoch)
+          proving.clear();
         throw;
       }
       if (unsure != row.epoch) proving.clear();
@@ -963,7 +1036,8 @@
       lag_was = 0;
       hive::log(grade::note, g.set.name, id + ": pair is " + mine + " now");
       release();
-    } else if (k.gone || h.now() - std::max(fresh_since, k.heard) > g.set.lose || h.now() - fresh_since > g.set.lose * 15) {
+    } else if (k.gone || h.now() - std::max(fresh_since, k.heard) > g.set.lose ||
+               h.now() - fresh_since > g.set.lose * 15) {
       hive::log(grade::note, g.set.name, id + ": gives up on " + fresh_back);
       if (unsure == row.epoch) {  // first it must be known that the move will never come about
         auto won = co_await propose(row, "settles a move without an answer");
@@ -993,8 +1067,10 @@
       } catch (const verdict&) {
       }
     }
-    if (role == part::prim && row.prim == me()) handing = false;
-    else if (role == part::prim) halt("handed over to " + row.prim);
+    if (role == part::prim && row.prim == me())
+      handing = false;
+    else if (role == part::prim)
+      halt("handed over to " + row.prim);
   }
 }
 
@@ -1019,7 +1095,8 @@
         co_await claim(row.epoch == 1 ? "first start" : "its primary is back");
       } else if (row.in_step(me()) && disk_lost(row.prim)) {
         co_await claim("its primary's disk is lost");
-      } else if (row.in_step(me()) && (lord_gone || h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience)) {
+      } else if (row.in_step(me()) &&
+                 (lord_gone || h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience)) {
         co_await claim(lord_gone ? "its primary's process is gone" : "its primary is silent");
         patience = h.spread(g.set.beat);
       }
@@ -1035,10 +1112,26 @@
     auto lag = lag_of(k) / msec;
     ms[m] = branch{{"joined", k.joined}, {"got", k.got}, {"done", k.done}, {"lag_ms", lag}, {"copies", k.copies}};
   }
-  return branch{{"role", role == part::prim ? "primary" : role == part::back ? "backup" : "idle"}, {"epoch", row.epoch},
-                {"prim", row.prim}, {"back", row.back}, {"last", last()}, {"applied", applied}, {"solid", solid},
-                {"broken", broken}, {"share", share}, {"slowed", slowed}, {"stops", stops}, {"open", state.open.size()}, {"linked", wires.size()},
-                {"topics", state.topics.size()}, {"pending", outs.size()}, {"spoken", spoken}, {"copies", ms}, {"charter", state.law}};
+  return branch{{"role", role == part::prim   ? "primary"
+                         : role == part::back ? "backup"
+                                              : "idle"},
+                {"epoch", row.epoch},
+                {"prim", row.prim},
+                {"back", row.back},
+                {"last", last()},
+                {"applied", applied},
+                {"solid", solid},
+                {"broken", broken},
+                {"share", share},
+                {"slowed", slowed},
+                {"stops", stops},
+                {"open", state.open.size()},
+                {"linked", wires.size()},
+                {"topics", state.topics.size()},
+                {"pending", outs.size()},
+                {"spoken", spoken},
+                {"copies", ms},
+                {"charter", state.law}};
 }
 
 }  // namespace hive
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -40,14 +40,14 @@
   auto finish(const std::string& sid) -> void;
   auto read(const tree& t, slot_ptr s) -> void;
   auto count(const tree& t, slot_ptr s) -> void;  // who is subscribed to a topic
-  auto lost(const wire_ptr& w) -> void;  // a forager's link ended
+  auto lost(const wire_ptr& w) -> void;           // a forager's link ended
 
   // The logging channel.
   auto on_join(tree t) -> task<tree>;
   auto on_copy(tree t) -> task<tree>;
   auto on_log(const wire_ptr& w, const tree& t) -> void;
-  auto on_wait(std::int64_t epoch) -> void;  // its new primary still replays
-  auto channel_closed(const wire_ptr& w) -> bool;  // did this cell follow a primary on it?
+  auto on_wait(std::int64_t epoch) -> void;            // its new primary still replays
+  auto channel_closed(const wire_ptr& w) -> bool;      // did this cell follow a primary on it?
   auto primary_gone(const std::string& name) -> void;  // that comb's process is known to be dead
   auto link_turned() -> void { grown.wake(); }         // a copy's link came up or fell
   auto on_ack(const std::string& member, const tree& t) -> void;
@@ -92,9 +92,9 @@
   [[nodiscard]] auto epoch_at(std::int64_t i) const -> std::int64_t;
   [[nodiscard]] auto kept() const -> bool { return state.keep > 0; }
   [[nodiscard]] auto key(std::int64_t i) const -> std::string;
-  [[nodiscard]] auto safe() const -> std::int64_t;  // up to here outputs may go out
+  [[nodiscard]] auto safe() const -> std::int64_t;         // up to here outputs may go out
   [[nodiscard]] auto lag_of(const mate& k) const -> tick;  // real-time lag of its replay
-  [[nodiscard]] auto doubtful() const -> bool;  // is an output waiting for a copy that does not answer?
+  [[nodiscard]] auto doubtful() const -> bool;             // is an output waiting for a copy that does not answer?
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
   [[nodiscard]] auto disk_lost(const std::string& member) const -> bool;
   auto load() -> void;
@@ -132,7 +132,7 @@
   std::int64_t spoken = 0;  // the last entry of which an output has left: a copy that lacks it is not in step
   bool urgent = false;
   std::int64_t wipes = 0;  // a sync begun before one says nothing of what came after
-  int inside = 0;  // joins and copies at work
+  int inside = 0;          // joins and copies at work
   std::deque<pending> outs;
   std::map<std::string, mate> mates;
   std::set<std::string> proving;  // copies whose ack is needed while a move is in flight
@@ -141,20 +141,20 @@
   tick fresh_since = 0;
   std::set<std::string> barred;
   std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
-  struct ear {  // where a subscription's deliveries go, and from which entry on:
+  struct ear {   // where a subscription's deliveries go, and from which entry on:
     wire_ptr w;  // what is older comes, if at all, with the answer of that entry
     std::int64_t from;
     std::int64_t turn;  // the forager's count of openings: the same one again is a retry
   };
-  std::map<std::string, ear> wires;        // by subscription
-  std::map<std::string, tick> lonely;      // subscriptions whose forager is gone
-  std::string lord;                        // whom this backup follows
+  std::map<std::string, ear> wires;    // by subscription
+  std::map<std::string, tick> lonely;  // subscriptions whose forager is gone
+  std::string lord;                    // whom this backup follows
   std::int64_t lord_epoch = 0;
   wire_ptr lord_wire;
   tick heard = 0, clock_at = 0, born_at = 0, back_at = 0;
   std::string copy_part;
-  tick lag_was = 0;                        // smoothed
-  double share = 1;                        // the admission share of gradual slowing
+  tick lag_was = 0;  // smoothed
+  double share = 1;  // the admission share of gradual slowing
   double tokens = 0, peak = 0;
   tick paced = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -68,13 +68,15 @@
 auto comb::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
   if (!c) {
-    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose, [this, addr] { return ses.known.vias(set.zone, addr); }});
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose,
+                                                       [this, addr] { return ses.known.vias(set.zone, addr); }});
     c->on_note = [this](const tree& t) {
       if (str_or(t, "op") != "c.ack") return;
       if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_ack(str(t, "me"), t);
     };
     auto look = [this] {
-      for (auto& [id, one] : cells) one->link_turned();
+      for (auto& [id, one] : cells)
+        one->link_turned();
     };
     c->on_turn = [look](bool) { look(); };
     c->on_gone = look;
@@ -84,7 +86,10 @@
 
 auto comb::add(const std::string& id) -> cell& {
   auto& c = cells[id];
-  if (!c) c = std::make_unique<cell>(ground{h, set, ses, [this](const std::string& a) -> colleague& { return reach(a); }, [this] { return going; }}, id);
+  if (!c)
+    c = std::make_unique<cell>(
+        ground{h, set, ses, [this](const std::string& a) -> colleague& { return reach(a); }, [this] { return going; }},
+        id);
   return *c;
 }
 
@@ -92,7 +97,8 @@
 auto comb::found() -> task<void> {
   auto held = std::set<std::string>();
   h.disk()->scan("C/", [&](const std::string& k, const std::string&) {
-    if (auto end = k.rfind(k.ends_with("/s") ? "/s" : "/e/"); end != std::string::npos && end > 2) held.insert(k.substr(2, end - 2));
+    if (auto end = k.rfind(k.ends_with("/s") ? "/s" : "/e/"); end != std::string::npos && end > 2)
+      held.insert(k.substr(2, end - 2));
   });
   for (const auto& id : held) {
     add(id);
@@ -133,7 +139,8 @@
     auto refused = false;
     auto way = co_await h.dial(addr, end, &refused);
     if (refused) {
-      for (auto& [id, one] : cells) one->primary_gone(name);
+      for (auto& [id, one] : cells)
+        one->primary_gone(name);
       co_return;
     }
     if (!way) co_return;
@@ -190,13 +197,23 @@
             c.s->bad = verdict("not_here", c.cell + " is not held here", ran::no, set.beat / msec);
             c.s->done.wake();
           } else if (c.what == command::kind::subscribe) {
-            c.w->tell(branch{{"op", "subbed"}, {"i", sub(c.t, "i")}, {"n", num_or(c.t, "n", 0)}, {"ok", false}, {"code", "not_here"}, {"pos", 0}});
+            c.w->tell(branch{{"op", "subbed"},
+                             {"i", sub(c.t, "i")},
+                             {"n", num_or(c.t, "n", 0)},
+                             {"ok", false},
+                             {"code", "not_here"},
+                             {"pos", 0}});
           }
-        } else if (c.what == command::kind::publish) it->second->publish(c.t, c.s);
-        else if (c.what == command::kind::subscribe) it->second->subscribe(c.t, c.w);
-        else if (c.what == command::kind::finish) it->second->finish(str(c.t, "i"));
-        else if (c.what == command::kind::count) it->second->count(c.t, c.s);
-        else it->second->read(c.t, c.s);
+        } else if (c.what == command::kind::publish)
+          it->second->publish(c.t, c.s);
+        else if (c.what == command::kind::subscribe)
+          it->second->subscribe(c.t, c.w);
+        else if (c.what == command::kind::finish)
+          it->second->finish(str(c.t, "i"));
+        else if (c.what == command::kind::count)
+          it->second->count(c.t, c.s);
+        else
+          it->second->read(c.t, c.s);
       } catch (const bad_bytes& e) {
         if (c.s) {
           c.s->bad = verdict("malformed", e.what());
@@ -206,8 +223,10 @@
       }
       break;
     }
-    if (!some) co_await more.wait(h);
-    else co_await nap(h, 0);
+    if (!some)
+      co_await more.wait(h);
+    else
+      co_await nap(h, 0);
   }
 }
 
@@ -227,7 +246,8 @@
     if (s->bad) throw *s->bad;
     co_return std::move(*s->out);
   }
-  if ((op == "c.join" || op == "c.copy") && h.disk()->broken()) throw verdict("disk", "the disk takes nothing now", ran::no, set.lose / msec);
+  if ((op == "c.join" || op == "c.copy") && h.disk()->broken())
+    throw verdict("disk", "the disk takes nothing now", ran::no, set.lose / msec);
   if (op == "c.join") {
     if (!ses.fresh()) throw verdict("away", "not yet fresh from the ledger", ran::no, set.beat / msec);
     co_return co_await add(str(t, "cell")).on_join(t);
@@ -262,7 +282,8 @@
   hive::log(grade::note, set.name, "leaving: cells are handed over");
   while (h.now() < limit) {
     auto left = 0;
-    for (const auto& [id, c] : cells) left += c->live();
+    for (const auto& [id, c] : cells)
+      left += c->live();
     if (!left) break;
     co_await rest(h, set.beat / 4);
   }
@@ -285,13 +306,15 @@
 
 auto comb::status() const -> tree {
   auto cs = branch();
-  for (const auto& [id, c] : cells) cs[id] = c->stand();
+  for (const auto& [id, c] : cells)
+    cs[id] = c->stand();
   auto wait = std::size_t{0};
-  for (const auto& l : lanes) wait += l.size();
+  for (const auto& l : lanes)
+    wait += l.size();
   auto* d = h.disk();
-  return branch{{"kind", "comb"}, {"name", set.name}, {"zone", set.zone}, {"member", ses.me.member()}, {"leased", ses.leased()},
-                {"cells", cs}, {"queued", wait}, {"beliefs", ses.known.beliefs()},
-                {"worked", worked}, {"syncs", d->syncs}, {"bytes", d->bytes}, {"disk_fails", d->broken()}};
+  return branch{{"kind", "comb"},         {"name", set.name},  {"zone", set.zone},  {"member", ses.me.member()},
+                {"leased", ses.leased()}, {"cells", cs},       {"queued", wait},    {"beliefs", ses.known.beliefs()},
+                {"worked", worked},       {"syncs", d->syncs}, {"bytes", d->bytes}, {"disk_fails", d->broken()}};
 }
 
 }  // namespace hive
--- a/comb/hoard.cpp
+++ b/comb/hoard.cpp
@@ -5,8 +5,8 @@
 namespace hive {
 namespace {
 
-constexpr auto slack = std::int64_t{1000};       // the logged clock trails by at most this
-constexpr auto callers_for = std::int64_t{60};   // a caller is known for so many resend spans
+constexpr auto slack = std::int64_t{1000};      // the logged clock trails by at most this
+constexpr auto callers_for = std::int64_t{60};  // a caller is known for so many resend spans
 
 }  // namespace
 
@@ -17,9 +17,12 @@
 }
 auto tally::add(std::int64_t seq) -> void {
   high = std::max(high, seq);
-  if (!runs.empty() && runs.rbegin()->second == seq - 1) runs.rbegin()->second = seq;
-  else runs[seq] = seq;
-  while (runs.size() > 256) runs.erase(runs.begin());  // what is forgotten is refused, never run again
+  if (!runs.empty() && runs.rbegin()->second == seq - 1)
+    runs.rbegin()->second = seq;
+  else
+    runs[seq] = seq;
+  while (runs.size() > 256)
+    runs.erase(runs.begin());  // what is forgotten is refused, never run again
 }
 
 auto hoard::weigh(const std::string& who, const std::string& topic, std::int64_t seq) const -> standing {
@@ -49,7 +52,8 @@
   // floor with it: who resumes there later lacks nothing that is still kept (design 6.1).
   for (auto it = topics.begin(); it != topics.end();) {
     auto& t = it->second;
-    it = t.kept.empty() && t.open.empty() && t.at + std::max(resend * callers_for, age) < clock ? topics.erase(it) : std::next(it);
+    it = t.kept.empty() && t.open.empty() && t.at + std::max(resend * callers_for, age) < clock ? topics.erase(it)
+                                                                                                : std::next(it);
   }
   for (auto it = callers.begin(); it != callers.end();)
     it = it->second.at + resend * callers_for < clock ? callers.erase(it) : std::next(it);
@@ -115,18 +119,22 @@
   auto ts = twigs();
   for (const auto& [name, t] : topics) {
     auto rows = twigs();
-    for (const auto& m : t.kept) rows.push_back(twigs{m.pos, m.from, m.body, m.seq, m.at, m.wall, m.keep});
+    for (const auto& m : t.kept)
+      rows.push_back(twigs{m.pos, m.from, m.body, m.seq, m.at, m.wall, m.keep});
     ts.push_back(twigs{name, t.floor, rows, t.at});
   }
   auto os = twigs();
-  for (const auto& [id, l] : open) os.push_back(twigs{id, l.topic, l.who, l.last});
+  for (const auto& [id, l] : open)
+    os.push_back(twigs{id, l.topic, l.who, l.last});
   auto cs = twigs();
   for (const auto& [key, c] : callers) {
     auto rs = twigs();
-    for (const auto& [a, b] : c.runs) rs.push_back(twigs{a, b});
+    for (const auto& [a, b] : c.runs)
+      rs.push_back(twigs{a, b});
     cs.push_back(twigs{key.first, key.second, c.high, c.at, rs});
   }
-  return branch{{"clock", clock}, {"keep", keep}, {"resend", resend}, {"law", law}, {"root", root}, {"topics", ts}, {"open", os}, {"callers", cs}};
+  return branch{{"clock", clock}, {"keep", keep}, {"resend", resend}, {"law", law},
+                {"root", root},   {"topics", ts}, {"open", os},       {"callers", cs}};
 }
 
 auto hoard::restore(const tree& t) -> hoard {
@@ -159,7 +167,8 @@
     auto& c = h.callers[{std::string(a.at(0).as_string()), std::string(a.at(1).as_string())}];
     c.high = a.at(2).as_int64();
     c.at = a.at(3).as_int64();
-    for (const auto& run : a.at(4).as_array()) c.runs[run.at(0).as_int64()] = run.at(1).as_int64();
+    for (const auto& run : a.at(4).as_array())
+      c.runs[run.at(0).as_int64()] = run.at(1).as_int64();
   }
   return h;
 }
--- a/comb/hoard.hpp
+++ b/comb/hoard.hpp
@@ -59,7 +59,7 @@
 
   std::int64_t clock = 0;  // milliseconds of the cell's own time, moved by logged reads only
   std::int64_t keep = 0, resend = 10000, law = 0;
-  std::int64_t root = 0;   // nothing at or below it is known: the cell was founded again there
+  std::int64_t root = 0;  // nothing at or below it is known: the cell was founded again there
   std::map<std::string, topic_row> topics;
   std::map<std::string, listener> open;
   std::map<std::pair<std::string, std::string>, tally> callers;  // by downstream and topic
--- a/forager/cursor.cpp
+++ b/forager/cursor.cpp
@@ -22,7 +22,8 @@
   return digits(static_cast<std::uint64_t>(pos)) + "." + check(topic, cell, pos);
 }
 
-auto read_cursor(const std::string& text, const std::string& topic, const std::string& cell) -> std::optional<std::int64_t> {
+auto read_cursor(const std::string& text, const std::string& topic, const std::string& cell)
+    -> std::optional<std::int64_t> {
   auto dot = text.find('.');
   if (dot == std::string::npos || dot == 0 || text.size() > 32) return {};
   auto pos = std::int64_t{0};
--- a/forager/cursor.hpp
+++ b/forager/cursor.hpp
@@ -10,6 +10,7 @@
 // cell, so that it is never taken for a place on another topic or in another pool.
 auto write_cursor(const std::string& topic, const std::string& cell, std::int64_t pos) -> std::string;
 // None: not readable, or a place on another topic or cell.
-auto read_cursor(const std::string& text, const std::string& topic, const std::string& cell) -> std::optional<std::int64_t>;
+auto read_cursor(const std::string& text, const std::string& topic, const std::string& cell)
+    -> std::optional<std::int64_t>;
 
 }  // namespace hive
--- a/forager/cursor_test.cpp
+++ b/forager/cursor_test.cpp
@@ -7,7 +7,8 @@
 
 TEST_GROUP(cursor_text){};
 TEST(cursor_text, comes_back_and_holds_for_its_topic_and_cell_only) {
-  for (auto pos : {std::int64_t{0}, std::int64_t{1}, std::int64_t{35}, std::int64_t{1} << 32, (std::int64_t{77} << 32) + 12345, INT64_MAX / 2}) {
+  for (auto pos : {std::int64_t{0}, std::int64_t{1}, std::int64_t{35}, std::int64_t{1} << 32,
+                   (std::int64_t{77} << 32) + 12345, INT64_MAX / 2}) {
     auto c = hive::write_cursor("a/x", "kept/3", pos);
     CHECK(c.size() <= 32 && !c.empty());
     CHECK(std::all_of(c.begin(), c.end(), [](char ch) { return ch > ' ' && ch < 0x7f; }));
@@ -24,6 +25,7 @@
     CHECK(!hive::read_cursor(bent, "a/x", "k/0"));
     CHECK(!hive::read_cursor(good.substr(0, i), "a/x", "k/0"));
   }
-  for (auto s : {"", ".", "-", "12", "-1.abc", "+1.abc", "0x1.abc", " 1.a", "1.a 2", "zzzzzzzzzzzzzzzzzzzz.1"}) CHECK(!hive::read_cursor(s, "a/x", "k/0"));
+  for (auto s : {"", ".", "-", "12", "-1.abc", "+1.abc", "0x1.abc", " 1.a", "1.a 2", "zzzzzzzzzzzzzzzzzzzz.1"})
+    CHECK(!hive::read_cursor(s, "a/x", "k/0"));
   CHECK(!hive::read_cursor(std::string(1000, '1') + ".1", "a/x", "k/0"));
 }
--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -13,7 +13,8 @@
 
 auto good_name(const std::string& s) -> bool {
   if (s.empty() || s.size() > 100) return false;
-  return std::all_of(s.begin(), s.end(), [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == ':'; });
+  return std::all_of(s.begin(), s.end(),
+                     [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == ':'; });
 }
 
 }  // namespace
@@ -53,13 +54,16 @@
   if (!serves()) return false;
   if (!ses.known.evacuated(set.zone)) return true;
   auto seats = ses.known.all();
-  return std::none_of(seats.begin(), seats.end(), [&](const auto& kv) { return kv.second.kind == "forager" && kv.second.ready && !ses.known.leaves(kv.second); });
+  return std::none_of(seats.begin(), seats.end(), [&](const auto& kv) {
+    return kv.second.kind == "forager" && kv.second.ready && !ses.known.leaves(kv.second);
+  });
 }
 
 auto forager::reach(const std::string& addr) -> colleague& {
   auto& c = mates[addr];
   if (!c) {
-    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose, [this, addr] { return ses.known.vias(set.zone, addr); }});
+    c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose,
+                                                       [this, addr] { return ses.known.vias(set.zone, addr); }});
     c->on_note = [this, addr](const tree& t) { on_note(addr, t); };
     c->on_turn = [this, addr](bool up) {
       if (!up)
@@ -80,7 +84,8 @@
 
 // The request's way through the rules of the newest charter (design 7.2).
 auto forager::judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> way {
-  if (!ses.may_serve() || !ses.fresh()) throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
+  if (!ses.may_serve() || !ses.fresh())
+    throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
   if (!good_topic(topic)) throw verdict("malformed", "'" + topic + "' is no topic");
   auto r = ses.known.law->judge(a, who, topic, n);
   if (!r.ok) throw verdict("denied", r.why);
@@ -97,7 +102,9 @@
 
 // Until when a request may wait for a primary that is not there: a caller that is told at once
 // asks again, and one that was held long without being served was held for nothing.
-auto forager::patience(const space& s) const -> tick { return h.now() + (s.aim_ms > 0 ? s.aim_ms * msec / 5 : set.lose * 2); }
+auto forager::patience(const space& s) const -> tick {
+  return h.now() + (s.aim_ms > 0 ? s.aim_ms * msec / 5 : set.lose * 2);
+}
 
 // Asks the cell's primary. While a takeover is under way it waits for the new one, as long as
 // the request can still run in its time; nothing is held back for any other reason (design 7.2).
@@ -128,12 +135,14 @@
 
 auto forager::send_publish(std::string who, std::string topic, std::int64_t seq, std::string body) -> task<tree> {
   if (!good_name(who)) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
-  if (body.size() > static_cast<std::size_t>(set.body)) throw verdict("too_long", "a message over " + std::to_string(set.body) + " bytes");
+  if (body.size() > static_cast<std::size_t>(set.body))
+    throw verdict("too_long", "a message over " + std::to_string(set.body) + " bytes");
   if (seq < 1) throw verdict("below", "seq wants a whole number from 1 up");
   auto w = judge(act::publish, who, topic, body.size());
   auto cell = cell_of(w.home, w.topic);
   auto until = h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.lose * 2);
-  auto q = tree(branch{{"op", "pub"}, {"cell", cell}, {"t", w.topic}, {"d", who}, {"s", seq}, {"b", body}, {"keep", w.home.keep_ms}});
+  auto q = tree(branch{
+      {"op", "pub"}, {"cell", cell}, {"t", w.topic}, {"d", who}, {"s", seq}, {"b", body}, {"keep", w.home.keep_ms}});
   auto r = co_await ask_lead(cell, std::move(q), patience(w.home), until);
   auto out = branch{{"verdict", "acked"}, {"topic", topic}, {"seq", seq}};
   if (const auto& p = sub(r, "pos"); p.is_int64()) out["pos"] = p;
@@ -148,7 +157,8 @@
     auto w = judge(act::subscribe, d->name, str(t, "topic"), 0);
     auto cell = cell_of(w.home, w.topic);
     auto q = tree(branch{{"op", "count"}, {"cell", cell}, {"t", w.topic}});
-    auto r = co_await ask_lead(cell, std::move(q), patience(w.home), h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.budget));
+    auto r = co_await ask_lead(cell, std::move(q), patience(w.home),
+                               h.now() + (w.home.timeout_ms > 0 ? w.home.timeout_ms * msec / 2 : set.budget));
     out = branch{{"verdict", "done"}, {"count", num(r, "count")}};
   } catch (const verdict& v) {
     out = v.to_tree().as_object();
@@ -203,7 +213,8 @@
   r.at = addr;
   r.epoch = it->second.epoch;
   r.sent = h.now();
-  c.tell(branch{{"op", "sub"}, {"cell", r.cell}, {"i", sid}, {"t", r.topic}, {"d", r.to->name}, {"a", r.last}, {"n", r.turn}});
+  c.tell(branch{
+      {"op", "sub"}, {"cell", r.cell}, {"i", sid}, {"t", r.topic}, {"d", r.to->name}, {"a", r.last}, {"n", r.turn}});
 }
 
 auto forager::subscribe(const downstream_ptr& d, const tree& t) -> void {
@@ -218,7 +229,8 @@
   }
   if (d->topics.count(asked)) throw verdict("taken", "this link has subscribed to it already");
   auto w = judge(act::subscribe, d->name, asked, 0);
-  if (d->topics.size() >= static_cast<std::size_t>(ses.known.law->subscriptions)) throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
+  if (d->topics.size() >= static_cast<std::size_t>(ses.known.law->subscriptions))
+    throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
   auto cell = cell_of(w.home, w.topic);
   if (text.is_string()) {
     auto pos = read_cursor(std::string(text.get_string()), w.topic, cell);
@@ -258,10 +270,12 @@
     if (op == "bad") throw verdict(str_or(t, "code", "malformed"), str_or(t, "why"));
     if (op == "enrol") {
       fields(t, {"op", "name", "id"});
-      if (!sub(t, "name").is_string() || !good_name(str(t, "name"))) throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
+      if (!sub(t, "name").is_string() || !good_name(str(t, "name")))
+        throw verdict("malformed", "name wants 1 to 100 letters, digits, '-', '_', '.', ':'");
       if (!d->name.empty()) throw verdict("taken", "this link is enrolled already");
       d->name = str(t, "name");
-      return say(d, branch{{"op", "verdict"}, {"for", "enrol"}, {"verdict", "done"}, {"name", d->name}, {"node", set.name}});
+      return say(
+          d, branch{{"op", "verdict"}, {"for", "enrol"}, {"verdict", "done"}, {"name", d->name}, {"node", set.name}});
     }
     if (d->name.empty()) throw verdict("malformed", "enrol first");
     if (op == "publish") {
@@ -269,7 +283,8 @@
       if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
       if (!sub(t, "seq").is_int64()) throw verdict("malformed", "seq is missing or no whole number");
       if (!sub(t, "body").is_string()) throw verdict("malformed", "body is missing or no string");
-      if (d->flying >= flying_most) throw verdict("busy", "too many publishes of this link wait", ran::no, set.beat / msec);
+      if (d->flying >= flying_most)
+        throw verdict("busy", "too many publishes of this link wait", ran::no, set.beat / msec);
       ++d->flying;
       return home.spawn(publish(d, std::move(t)));
     }
@@ -281,7 +296,8 @@
     if (op == "count") {
       fields(t, {"op", "topic", "id"});
       if (!sub(t, "topic").is_string()) throw verdict("malformed", "topic is missing");
-      if (d->flying >= flying_most) throw verdict("busy", "too many requests of this link wait", ran::no, set.beat / msec);
+      if (d->flying >= flying_most)
+        throw verdict("busy", "too many requests of this link wait", ran::no, set.beat / msec);
       ++d->flying;
       return home.spawn(count_topic(d, std::move(t)));
     }
@@ -309,8 +325,10 @@
   d->over = true;
   links.erase(d->id);
   auto sids = std::vector<std::string>();
-  for (const auto& [t, sid] : d->topics) sids.push_back(sid);
-  for (const auto& sid : sids) finish(sid, true);
+  for (const auto& [t, sid] : d->topics)
+    sids.push_back(sid);
+  for (const auto& sid : sids)
+    finish(sid, true);
 }
 
 // One task per downstream link, from its first request to its last.
@@ -350,7 +368,9 @@
   io->end();
 }
 
-auto forager::stream(request, std::shared_ptr<lines> io) -> task<void> { co_await attend(std::make_shared<http_talk>(std::move(io))); }
+auto forager::stream(request, std::shared_ptr<lines> io) -> task<void> {
+  co_await attend(std::make_shared<http_talk>(std::move(io)));
+}
 
 auto forager::on_note(const std::string& addr, const tree& t) -> void {
   auto op = str_or(t, "op");
@@ -365,7 +385,8 @@
       if (!r.open) continue;
       r.last = pos;
       ++delivered;
-      auto out = branch{{"op", "deliver"}, {"topic", r.asked}, {"pos", pos}, {"from", sub(t, "d")}, {"seq", sub(t, "s")}, {"body", sub(t, "b")}, {"at", sub(t, "w")}};
+      auto out = branch{{"op", "deliver"},    {"topic", r.asked},    {"pos", pos},       {"from", sub(t, "d")},
+                        {"seq", sub(t, "s")}, {"body", sub(t, "b")}, {"at", sub(t, "w")}};
       if (r.to->io->cursors()) out["cursor"] = write_cursor(r.topic, r.cell, pos);
       say(r.to, out);
     }
@@ -382,7 +403,8 @@
       if (r.last < 0) r.last = num(t, "pos");
       if (!r.told) {
         r.told = true;
-        auto out = branch{{"op", "verdict"}, {"for", "subscribe"}, {"verdict", "done"}, {"topic", r.asked}, {"pos", r.last}};
+        auto out =
+            branch{{"op", "verdict"}, {"for", "subscribe"}, {"verdict", "done"}, {"topic", r.asked}, {"pos", r.last}};
         if (r.to->io->cursors()) out["cursor"] = write_cursor(r.topic, r.cell, r.last);
         say(r.to, out);
       }
@@ -430,12 +452,20 @@
       for (auto& [sid, r] : subs) {
         auto v = ses.known.law->judge(act::subscribe, r.to->name, r.asked, 0);
         const auto* s = v.ok && v.topic == r.topic ? ses.known.law->space_of(v.topic) : nullptr;
-        if (!s) out.emplace_back(sid, "denied");
-        else if (cell_of(*s, r.topic) != r.cell) out.emplace_back(sid, "gone");  // another space took the topic over
+        if (!s)
+          out.emplace_back(sid, "denied");
+        else if (cell_of(*s, r.topic) != r.cell)
+          out.emplace_back(sid, "gone");  // another space took the topic over
       }
       for (auto& [sid, code] : out) {
         auto& r = subs[sid];
-        say(r.to, branch{{"op", "ended"}, {"for", "subscribe"}, {"verdict", "refused"}, {"code", code}, {"why", "a newer charter ends it"}, {"topic", r.asked}, {"pos", r.last}});
+        say(r.to, branch{{"op", "ended"},
+                         {"for", "subscribe"},
+                         {"verdict", "refused"},
+                         {"code", code},
+                         {"why", "a newer charter ends it"},
+                         {"topic", r.asked},
+                         {"pos", r.last}});
         finish(sid, true);
       }
     }
@@ -464,7 +494,8 @@
   while (true) {
     co_await rest(h, set.beat * 5);
     auto all = links;
-    for (auto& [id, d] : all) say(d, branch{{"op", "beat"}});
+    for (auto& [id, d] : all)
+      say(d, branch{{"op", "beat"}});
   }
 }
 
@@ -475,7 +506,9 @@
   ses.me.leaving = going;
   ses.me.usage = static_cast<std::int64_t>(links.size());
   auto seats = ses.known.all();
-  auto near = std::any_of(seats.begin(), seats.end(), [&](const auto& kv) { return kv.second.kind == "forager" && kv.second.zone == set.zone && kv.second.web != ses.me.web; });
+  auto near = std::any_of(seats.begin(), seats.end(), [&](const auto& kv) {
+    return kv.second.kind == "forager" && kv.second.zone == set.zone && kv.second.web != ses.me.web;
+  });
   if (near || !ses.fresh()) alone_since = h.now();
   if (ses.known.evacuated(set.zone) || h.now() - alone_since > set.lose / 2) ses.known.need.wide = true;
 }
@@ -565,10 +598,20 @@
 
 auto forager::status() const -> tree {
   auto open = std::size_t{0};
-  for (const auto& [sid, r] : subs) open += r.open;
-  return branch{{"kind", "forager"}, {"name", set.name}, {"zone", set.zone}, {"ready", ready()}, {"leased", ses.leased()},
-                {"links", links.size()}, {"subscriptions", subs.size()},
-                {"open", open}, {"acked", acked}, {"refused", refused}, {"unclear", unclear}, {"delivered", delivered},
+  for (const auto& [sid, r] : subs)
+    open += r.open;
+  return branch{{"kind", "forager"},
+                {"name", set.name},
+                {"zone", set.zone},
+                {"ready", ready()},
+                {"leased", ses.leased()},
+                {"links", links.size()},
+                {"subscriptions", subs.size()},
+                {"open", open},
+                {"acked", acked},
+                {"refused", refused},
+                {"unclear", unclear},
+                {"delivered", delivered},
                 {"beliefs", ses.known.beliefs()}};
 }
 
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -67,7 +67,7 @@
     space home;
   };
   auto judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> way;
-  [[nodiscard]] auto lead_of(const std::string& cell) const -> std::string;   // the address of its primary
+  [[nodiscard]] auto lead_of(const std::string& cell) const -> std::string;  // the address of its primary
   auto fields(const tree& t, std::initializer_list<const char*> known) const -> void;
 
   host& h;
@@ -76,12 +76,12 @@
   std::map<std::string, sub_row> subs;
   std::map<std::uint64_t, downstream_ptr> links;
   std::uint64_t seated = 0, before = 0;  // before: the last one seated when this node began to leave
-  std::string mark;  // sets this run's subscriptions apart from an earlier one's
+  std::string mark;                      // sets this run's subscriptions apart from an earlier one's
   std::int64_t count = 0, judged = 0;
   std::uint64_t acked = 0, refused = 0, unclear = 0, delivered = 0;
   bool going = false, ever = false;
-  std::size_t early = 0;  // links that wait for the first lease
-  tick alone_since = 0;  // when another forager of this zone was last known, or nothing yet
+  std::size_t early = 0;    // links that wait for the first lease
+  tick alone_since = 0;     // when another forager of this zone was last known, or nothing yet
   std::size_t away_to = 0;  // links sent away so far: spreads them over the others
   nest home;
 };
--- a/forager/forager_test.cpp
+++ b/forager/forager_test.cpp
@@ -22,7 +22,8 @@
   // Sends raw lines on one link; returns the codes of the verdicts that came, in order.
   auto say(std::vector<std::string> rows, tick wait = 2 * sec) -> std::vector<std::string> {
     auto out = std::make_shared<std::vector<std::string>>();
-    f.desk->spawn([](fleet& fl, std::vector<std::string> rs, std::shared_ptr<std::vector<std::string>> o) -> task<void> {
+    f.desk->spawn([](fleet& fl, std::vector<std::string> rs,
+                     std::shared_ptr<std::vector<std::string>> o) -> task<void> {
       auto io = co_await open_link(*fl.outside, fl.webs[0], fl.outside->now() + sec);
       if (!io) co_return;
       for (auto& r : rs) {
@@ -58,12 +59,17 @@
 TEST(forager_bad_input, each_fault_gets_its_final_verdict_and_the_link_goes_on) {
   auto b = bench();
   CHECK(b.ok);
-  auto v = b.say({"{not json", "[1]", R"({"op":"publish","topic":"alerts/x","seq":1,"body":"b"})", R"({"op":"enrol","name":"a b"})", R"({"op":"enrol","name":"me"})",
-                  R"({"op":"publish","topic":"alerts/x","body":"b"})", R"({"op":"publish","topic":"alerts/x","seq":0,"body":"b"})", R"({"op":"publish","topic":"alerts/x","seq":"1","body":"b"})",
-                  R"({"op":"publish","topic":"alerts/x","seq":1,"body":"b","colour":1})", R"({"op":"publish","topic":"nowhere/x","seq":1,"body":"b"})",
-                  R"({"op":"publish","topic":"noslash","seq":1,"body":"b"})", R"({"op":"subscribe","topic":"probe/v1"})", R"({"op":"subscribe","topic":"alerts/x","after":-4})",
-                  R"({"op":"subscribe","topic":"alerts/x","after":99999})", R"({"op":"dance"})", R"({"op":"publish","topic":"alerts/x","seq":1,"body":")" + std::string(17000, 'x') + "\"}",
-                  R"({"op":"unsubscribe","topic":"alerts/y"})"});
+  auto v = b.say(
+      {"{not json", "[1]", R"({"op":"publish","topic":"alerts/x","seq":1,"body":"b"})",
+       R"({"op":"enrol","name":"a b"})", R"({"op":"enrol","name":"me"})",
+       R"({"op":"publish","topic":"alerts/x","body":"b"})", R"({"op":"publish","topic":"alerts/x","seq":0,"body":"b"})",
+       R"({"op":"publish","topic":"alerts/x","seq":"1","body":"b"})",
+       R"({"op":"publish","topic":"alerts/x","seq":1,"body":"b","colour":1})",
+       R"({"op":"publish","topic":"nowhere/x","seq":1,"body":"b"})",
+       R"({"op":"publish","topic":"noslash","seq":1,"body":"b"})", R"({"op":"subscribe","topic":"probe/v1"})",
+       R"({"op":"subscribe","topic":"alerts/x","after":-4})", R"({"op":"subscribe","topic":"alerts/x","after":99999})",
+       R"({"op":"dance"})", R"({"op":"publish","topic":"alerts/x","seq":1,"body":")" + std::string(17000, 'x') + "\"}",
+       R"({"op":"unsubscribe","topic":"alerts/y"})"});
   // Publishes are answered as they end; what matters is that each has its final verdict.
   LONGS_EQUAL(17, v.size());
   auto count = [&](const std::string& s) { return std::count(v.begin(), v.end(), s); };
@@ -93,7 +99,8 @@
   auto b = bench();
   CHECK(b.ok);
   auto rows = std::vector<std::string>{R"({"op":"enrol","name":"me"})"};
-  for (auto i = 1; i <= 500; ++i) rows.push_back(R"({"op":"publish","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"b"})");
+  for (auto i = 1; i <= 500; ++i)
+    rows.push_back(R"({"op":"publish","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"b"})");
   auto v = b.say(rows);
   LONGS_EQUAL(501, v.size());
   auto busy = std::count(v.begin(), v.end(), "refused busy later");
@@ -188,13 +195,15 @@
   STRCMP_EQUAL("two", str(other->of("deliver")[0], "body").c_str());
   auto v = other->of("verdict", "subscribe");
   LONGS_EQUAL(3, v.size());
-  LONGS_EQUAL(2, std::count_if(v.begin(), v.end(), [](auto& t) { return str_or(t, "code") == "gone" && num_or(t, "retry_ms", -1) < 0; }));
+  LONGS_EQUAL(2, std::count_if(v.begin(), v.end(),
+                               [](auto& t) { return str_or(t, "code") == "gone" && num_or(t, "retry_ms", -1) < 0; }));
 }
 TEST(forager_seam, subscribers_are_counted_once_each_and_leave_the_count) {
   auto b = seam();
   CHECK(b.ok);
   auto one = b.open(0, "a"), again = b.open(1, "a"), two = b.open(1, "b");
-  for (auto& t : {one, again, two}) t->ask(R"({"op":"subscribe","topic":"alerts/x"})");
+  for (auto& t : {one, again, two})
+    t->ask(R"({"op":"subscribe","topic":"alerts/x"})");
   b.run(sec);
   auto count = [&] {
     auto had = two->of("verdict", "count").size();
@@ -228,7 +237,8 @@
   LONGS_EQUAL(1, away.size());
   auto others = b.f.names("forager");
   CHECK(str_or(away[0], "to") != b.f.all.at(others[0])->set.web);
-  CHECK(std::any_of(others.begin(), others.end(), [&](auto& n) { return b.f.all.at(n)->set.web == str_or(away[0], "to"); }));
+  CHECK(std::any_of(others.begin(), others.end(),
+                    [&](auto& n) { return b.f.all.at(n)->set.web == str_or(away[0], "to"); }));
 }
 TEST(forager_seam, a_publish_waits_for_a_takeover_under_way_and_no_longer_than_it_can_run) {
   auto b = seam();
@@ -241,7 +251,8 @@
   b.run(4 * sec);
   auto v = t->of("verdict", "publish");
   LONGS_EQUAL(1, v.size());
-  CHECK(str(v[0], "verdict") == "acked" || str(v[0], "verdict") == "unclear");  // unclear: it was on its way when the process died
+  CHECK(str(v[0], "verdict") == "acked" ||
+        str(v[0], "verdict") == "unclear");  // unclear: it was on its way when the process died
 }
 // All clients come back at once after a loss of power; those turned away by a node that is a moment from its
 // lease would stay away for longer. Without a lease in sight they are told when to return.
@@ -258,7 +269,8 @@
   b.run(sec / 2);
   LONGS_EQUAL(1, t->of("verdict", "enrol").size());
   LONGS_EQUAL(0, t->of("verdict", "link").size());
-  for (auto& q : b.f.names("queen")) b.f.kill(q);
+  for (auto& q : b.f.names("queen"))
+    b.f.kill(q);
   b.run(5 * sec);
   auto late = again();
   b.run(600 * msec);
--- a/forager/http_talk.cpp
+++ b/forager/http_talk.cpp
@@ -12,7 +12,8 @@
   if (!l) co_return std::nullopt;
   auto ec = boost::json::error_code();
   auto t = boost::json::parse(*l, ec);
-  if (ec || !t.is_object()) co_return tree(branch{{"op", "bad"}, {"code", "malformed"}, {"why", "a line that is no JSON object"}});
+  if (ec || !t.is_object())
+    co_return tree(branch{{"op", "bad"}, {"code", "malformed"}, {"why", "a line that is no JSON object"}});
   co_return std::move(t);
 }
 
--- a/guard/differ.cpp
+++ b/guard/differ.cpp
@@ -11,13 +11,16 @@
 // How long news may take from one node to another while nothing is cut (design 5.2).
 constexpr auto news_ms = std::int64_t{3000};
 
-auto show(const tree& t) -> std::string { return t.is_null() ? "nothing" : t.is_string() ? std::string(t.get_string()) : text(t); }
+auto show(const tree& t) -> std::string {
+  return t.is_null() ? "nothing" : t.is_string() ? std::string(t.get_string()) : text(t);
+}
 
 auto keys(const tree& a, const tree& b) -> std::set<std::string> {
   auto out = std::set<std::string>();
   for (const auto* t : {&a, &b})
     if (t->is_object())
-      for (const auto& kv : t->get_object()) out.insert(std::string(kv.key()));
+      for (const auto& kv : t->get_object())
+        out.insert(std::string(kv.key()));
   return out;
 }
 
@@ -32,7 +35,8 @@
   auto out = std::vector<parting>();
   const auto& x = sub(a, "beliefs");
   const auto& y = sub(b, "beliefs");
-  if (sub(x, "charter") != sub(y, "charter")) out.push_back({"charter", show(sub(x, "charter")), show(sub(y, "charter")), false, news_ms});
+  if (sub(x, "charter") != sub(y, "charter"))
+    out.push_back({"charter", show(sub(x, "charter")), show(sub(y, "charter")), false, news_ms});
   for (const auto& id : keys(sub(x, "cells"), sub(y, "cells"))) {
     const auto& p = sub(sub(x, "cells"), id);
     const auto& q = sub(sub(y, "cells"), id);
@@ -41,7 +45,8 @@
       continue;
     }
     auto same_epoch = num_or(p, "epoch", 0) == num_or(q, "epoch", 0);
-    if (!same_epoch) out.push_back({"cell " + id + " epoch", show(sub(p, "epoch")), show(sub(q, "epoch")), false, news_ms});
+    if (!same_epoch)
+      out.push_back({"cell " + id + " epoch", show(sub(p, "epoch")), show(sub(q, "epoch")), false, news_ms});
     for (auto k : {"prim", "back", "step"}) {
       if (sub(p, k) == sub(q, k)) continue;
       // One epoch means one claim: two readings of it can never both be right.
@@ -52,11 +57,13 @@
     const auto& p = sub(sub(x, "members"), n);
     const auto& q = sub(sub(y, "members"), n);
     if (p.is_null() ? !needs(x, q) : !needs(y, p)) continue;
-    if (p.is_null() != q.is_null()) out.push_back({"member " + n, p.is_null() ? "away" : "here", q.is_null() ? "away" : "here", false, -1});
+    if (p.is_null() != q.is_null())
+      out.push_back({"member " + n, p.is_null() ? "away" : "here", q.is_null() ? "away" : "here", false, -1});
   }
   for (const auto& n : keys(sub(x, "leavings"), sub(y, "leavings")))
     if (sub(sub(x, "leavings"), n) != sub(sub(y, "leavings"), n))
-      out.push_back({"leaving " + n, show(sub(sub(x, "leavings"), n)), show(sub(sub(y, "leavings"), n)), false, news_ms});
+      out.push_back(
+          {"leaving " + n, show(sub(sub(x, "leavings"), n)), show(sub(sub(y, "leavings"), n)), false, news_ms});
   // What both hold themselves.
   for (const auto& id : keys(sub(a, "cells"), sub(b, "cells"))) {
     const auto& p = sub(sub(a, "cells"), id);
--- a/guard/differ_test.cpp
+++ b/guard/differ_test.cpp
@@ -8,9 +8,11 @@
 
 TEST_GROUP(guard_differ){};
 TEST(guard_differ, two_readings_of_one_epoch_break_a_rule) {
-  auto a = boost::json::parse(R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":4,"prim":"x/1","back":"y/1","step":["x/1","y/1"]}},"members":{"x":{}}}})");
+  auto a = boost::json::parse(
+      R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":4,"prim":"x/1","back":"y/1","step":["x/1","y/1"]}},"members":{"x":{}}}})");
   CHECK(hive::compare(a, a).empty());
-  auto b = boost::json::parse(R"({"beliefs":{"charter":2,"cells":{"s/0":{"epoch":4,"prim":"y/1","back":"y/1","step":["x/1","y/1"]}},"members":{}}})");
+  auto b = boost::json::parse(
+      R"({"beliefs":{"charter":2,"cells":{"s/0":{"epoch":4,"prim":"y/1","back":"y/1","step":["x/1","y/1"]}},"members":{}}})");
   auto d = hive::compare(a, b);
   LONGS_EQUAL(3, d.size());
   STRCMP_EQUAL("charter", d[0].what.c_str());
@@ -18,8 +20,10 @@
   STRCMP_EQUAL("cell s/0 prim", d[1].what.c_str());
   CHECK(d[1].broken);
   STRCMP_EQUAL("member x", d[2].what.c_str());
-  auto c = boost::json::parse(R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":5,"prim":"y/1","back":"","step":["y/1"]}},"members":{"x":{}}}})");
-  for (auto& p : hive::compare(a, c)) CHECK_FALSE(p.broken);
+  auto c = boost::json::parse(
+      R"({"beliefs":{"charter":3,"cells":{"s/0":{"epoch":5,"prim":"y/1","back":"","step":["y/1"]}},"members":{"x":{}}}})");
+  for (auto& p : hive::compare(a, c))
+    CHECK_FALSE(p.broken);
 }
 TEST(guard_differ, two_primaries_of_one_epoch) {
   auto a = boost::json::parse(R"({"cells":{"s/0":{"role":"primary","epoch":4,"last":9}}})");
--- a/guard/main.cpp
+++ b/guard/main.cpp
@@ -30,7 +30,8 @@
       }
     rows = compare(left.body, right.body);
     auto still = std::map<std::string, tick>();
-    for (auto& p : rows) still[p.what] = since.count(p.what) ? since[p.what] : h.now();
+    for (auto& p : rows)
+      still[p.what] = since.count(p.what) ? since[p.what] : h.now();
     since = std::move(still);
     auto early = h.now() - begin >= span;
     if (rows.empty() || early) break;  // all agreed, or watched long enough
@@ -42,11 +43,17 @@
     auto age = (h.now() - since[p.what]) / msec;
     auto bad = p.broken || (p.may >= 0 && age > p.may);
     out = std::max(out, static_cast<int>(bad ? breaks : differs));
-    if (json) list.push_back(branch{{"what", p.what}, {"left", p.left}, {"right", p.right}, {"age_ms", age}, {"breaks_rule", bad}});
-    else std::cout << p.what << ": " << p.left << " | " << p.right << "  for " << age << " ms" << (bad ? "  BREAKS A RULE" : "") << '\n';
+    if (json)
+      list.push_back(
+          branch{{"what", p.what}, {"left", p.left}, {"right", p.right}, {"age_ms", age}, {"breaks_rule", bad}});
+    else
+      std::cout << p.what << ": " << p.left << " | " << p.right << "  for " << age << " ms"
+                << (bad ? "  BREAKS A RULE" : "") << '\n';
   }
-  if (json) std::cout << text(list) << '\n';
-  else if (rows.empty()) std::cout << "they agree\n";
+  if (json)
+    std::cout << text(list) << '\n';
+  else if (rows.empty())
+    std::cout << "they agree\n";
   h.end();
 }
 
@@ -59,8 +66,11 @@
                        {"json", 'j', POPT_ARG_NONE, &json, 0, "print JSON", nullptr},
                        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
                        {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
-  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
-  poptSetOtherOptionHelp(ctx.get(), "IP:PORT IP:PORT\n  exit: 0 they agree, 1 they differ, 2 wrong usage, 3 one is not reached, 4 a rule is broken");
+  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0),
+                                                                        &poptFreeContext);
+  poptSetOtherOptionHelp(
+      ctx.get(),
+      "IP:PORT IP:PORT\n  exit: 0 they agree, 1 they differ, 2 wrong usage, 3 one is not reached, 4 a rule is broken");
   if (auto r = poptGetNextOpt(ctx.get()); r < -1) {
     std::cerr << poptBadOption(ctx.get(), 0) << ": " << poptStrerror(r) << '\n';
     return hive::usage;
--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -7,7 +7,7 @@
 namespace hive {
 namespace {
 
-constexpr auto rows_most = std::size_t{64};   // entries in one append
+constexpr auto rows_most = std::size_t{64};    // entries in one append
 constexpr auto keep_rows = std::int64_t{512};  // entries kept behind a capture
 constexpr auto seats_least = std::size_t{3};   // voters that silence alone does not bring below
 
@@ -18,13 +18,15 @@
 }
 auto to_tree(const std::vector<voter>& p) -> tree {
   auto out = twigs();
-  for (const auto& v : p) out.push_back(branch{{"addr", v.addr}, {"id", v.id}});
+  for (const auto& v : p)
+    out.push_back(branch{{"addr", v.addr}, {"id", v.id}});
   return out;
 }
 auto to_panel(const tree& t) -> std::vector<voter> {
   auto out = std::vector<voter>();
   if (t.is_array())
-    for (const auto& v : t.get_array()) out.push_back({str(v, "addr"), str(v, "id")});
+    for (const auto& v : t.get_array())
+      out.push_back({str(v, "addr"), str(v, "id")});
   return out;
 }
 
@@ -88,7 +90,8 @@
 }
 
 auto ledger::keep_meta() -> void {
-  disk.put("L/meta", seal(branch{{"format", 1}, {"id", me.id}, {"term", term}, {"voted", voted}, {"founded", founded}}));
+  disk.put("L/meta",
+           seal(branch{{"format", 1}, {"id", me.id}, {"term", term}, {"voted", voted}, {"founded", founded}}));
 }
 
 auto ledger::term_at(std::int64_t i) const -> std::int64_t {
@@ -96,9 +99,7 @@
   if (i < base || i > last()) return -1;
   return log[static_cast<std::size_t>(i - base - 1)].term;
 }
-auto ledger::may_vote() const -> bool {
-  return founded && std::find(panel.begin(), panel.end(), me) != panel.end();
-}
+auto ledger::may_vote() const -> bool { return founded && std::find(panel.begin(), panel.end(), me) != panel.end(); }
 auto ledger::seat() -> void {
   panel = panel_at(last());
   realm = base_realm;
@@ -234,8 +235,10 @@
   auto add = [&](const std::string& a) {
     if (a != me.addr && std::find(out.begin(), out.end(), a) == out.end()) out.push_back(a);
   };
-  for (const auto& v : panel) add(v.addr);
-  for (const auto& s : set.seeds) add(s);
+  for (const auto& v : panel)
+    add(v.addr);
+  for (const auto& s : set.seeds)
+    add(s);
   return out;
 }
 
@@ -247,7 +250,8 @@
   }
   std::sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.first < b.first; });
   auto row = std::vector<voter>();
-  for (auto& [at, v] : out) row.push_back(std::move(v));
+  for (auto& [at, v] : out)
+    row.push_back(std::move(v));
   return row;
 }
 
@@ -272,7 +276,8 @@
 }
 
 auto ledger::ask_leader(tree t, tick until) -> task<tree> {
-  if (lead.empty() || lead == me.addr) throw verdict("no_leader", "no ledger leader is known here", ran::no, set.lose / msec);
+  if (lead.empty() || lead == me.addr)
+    throw verdict("no_leader", "no ledger leader is known here", ran::no, set.lose / msec);
   co_return co_await reach(lead).ask(std::move(t), until);
 }
 
@@ -301,13 +306,15 @@
         continue;
       }
       // One gone for good must not count in every majority; none goes by silence alone where few are left.
-      if (auto row = silent(set.lose * 5); settled() && !changing && panel.size() > seats_least && !row.empty()) home.spawn(unseat(row.front(), "has been silent for long"));
+      if (auto row = silent(set.lose * 5); settled() && !changing && panel.size() > seats_least && !row.empty())
+        home.spawn(unseat(row.front(), "has been silent for long"));
       continue;
     }
     // The first try of a life goes by the order of the seats: after a start of all, chance would only add to the quiet.
     auto turn = std::find(panel.begin(), panel.end(), me) - panel.begin();
     auto by_seat = turn * set.beat / 2 + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.beat / 4)));
-    auto due = std::max(heard_lead, h.now() - heat) + heat + (tried ? static_cast<tick>(h.below(static_cast<std::uint64_t>(heat))) : by_seat);
+    auto due = std::max(heard_lead, h.now() - heat) + heat +
+               (tried ? static_cast<tick>(h.below(static_cast<std::uint64_t>(heat))) : by_seat);
     // Nobody's quiet to keep: at once, one after the other so that the votes do not split.
     if (h.now() - orphaned < heat && h.now() - heard_lead >= heat) due = h.now() + by_seat;
     auto sooner = co_await pushed.wait(h, due);
@@ -325,7 +332,8 @@
   }
 }
 
-auto ledger::canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> ayes, std::shared_ptr<std::size_t> left, std::shared_ptr<signal> s) -> task<void> {
+auto ledger::canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> ayes, std::shared_ptr<std::size_t> left,
+                     std::shared_ptr<signal> s) -> task<void> {
   try {
     auto r = co_await reach(v.addr).ask(std::move(t), h.now() + heat);
     if (num(r, "term") > term) follow(num(r, "term"), "");
@@ -357,7 +365,13 @@
   auto left = std::make_shared<std::size_t>(0);  // voters that have not answered
   auto s = std::make_shared<signal>();
   ayes->insert(me.addr);
-  auto ballot = tree(branch{{"op", "l.vote"}, {"term", t}, {"from", me.addr}, {"last", last()}, {"last_term", term_at(last())}, {"dry", dry}, {"go", urged}});
+  auto ballot = tree(branch{{"op", "l.vote"},
+                            {"term", t},
+                            {"from", me.addr},
+                            {"last", last()},
+                            {"last_term", term_at(last())},
+                            {"dry", dry},
+                            {"go", urged}});
   for (const auto& v : panel)
     if (v != me) {
       ++*left;
@@ -386,8 +400,8 @@
 auto ledger::on_vote(tree t) -> task<tree> {
   auto ask_term = num(t, "term");
   auto dry = yes(t, "dry");
-  auto newer = num(t, "last_term") > term_at(last()) ||
-               (num(t, "last_term") == term_at(last()) && num(t, "last") >= last());
+  auto newer =
+      num(t, "last_term") > term_at(last()) || (num(t, "last_term") == term_at(last()) && num(t, "last") >= last());
   // Who still hears a leader keeps it.
   auto content = (role == part::lead || h.now() - heard_lead < heat) && !yes(t, "go");
   if (!may_vote() || ask_term < term || content) co_return answer(false);
@@ -417,7 +431,8 @@
     out = answer(false);
     auto hint = std::min(prev - 1, last());
     auto odd = term_at(hint);
-    while (prev <= last() && hint > std::max(base, agreed) && term_at(hint) == odd) --hint;
+    while (prev <= last() && hint > std::max(base, agreed) && term_at(hint) == odd)
+      --hint;
     out["hint"] = std::max(hint, agreed) + 1;
     co_return out;
   }
@@ -456,7 +471,8 @@
   heard_lead = h.now();
   auto idx = num(t, "idx");
   if (idx > agreed) {
-    for (auto i = base + 1; i <= last(); ++i) disk.cut(slot(i));
+    for (auto i = base + 1; i <= last(); ++i)
+      disk.cut(slot(i));
     log.clear();
     base = idx;
     base_term = num(t, "idx_term");
@@ -465,7 +481,11 @@
     base_state = sub(t, "state");
     agreed = applied = solid = base;
     law.restore(base_state);
-    disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"realm", base_realm}, {"state", base_state}}));
+    disk.put("L/cap", seal(branch{{"idx", base},
+                                  {"term", base_term},
+                                  {"panel", to_tree(base_panel)},
+                                  {"realm", base_realm},
+                                  {"state", base_state}}));
     founded = true;
     keep_meta();
     seat();
@@ -488,7 +508,8 @@
   }
   if (auto theirs = str_or(t, "realm"); !theirs.empty() && !realm.empty() && theirs != realm) {
     hive::log(grade::warn, set.name, who.addr + " has a disk of another fleet's ledger; it is not let in");
-    throw verdict("foreign", "the disk holds another fleet's ledger: empty the folder, or name its own fleet's seeds", ran::no);
+    throw verdict("foreign", "the disk holds another fleet's ledger: empty the folder, or name its own fleet's seeds",
+                  ran::no);
   }
   if (changing) throw verdict("busy", "another voter is being changed", ran::no, set.lose / msec);
   // Before an entry of its own term is agreed, voters of an earlier change may not be known here.
@@ -502,13 +523,18 @@
         auto old = *std::find_if(panel.begin(), panel.end(), [&](auto& v) { return v.addr == who.addr; });
         co_await unseat(old, "has another disk");
       }
-      if (role == part::lead && term == mine && learners.insert_or_assign(who.addr, who.id).second) home.spawn(feed(who.addr, term));
+      if (role == part::lead && term == mine && learners.insert_or_assign(who.addr, who.id).second)
+        home.spawn(feed(who.addr, term));
       auto end = h.now() + set.lose * 4;
-      while (role == part::lead && term == mine && h.now() < end && (marks[who.addr].match < agreed)) co_await rest(h, set.beat);
-      if (role != part::lead || term != mine || marks[who.addr].match < agreed) throw verdict("unclear", "the new voter did not catch up", ran::maybe, set.lose / msec);
+      while (role == part::lead && term == mine && h.now() < end && (marks[who.addr].match < agreed))
+        co_await rest(h, set.beat);
+      if (role != part::lead || term != mine || marks[who.addr].match < agreed)
+        throw verdict("unclear", "the new voter did not catch up", ran::maybe, set.lose / msec);
       // Who comes takes the place of one that is lost, wherever that one stood: nobody waits for it.
-      if (auto row = silent(set.lose * 2); !back && !row.empty()) co_await unseat(row.front(), "is silent while another comes");
-      if (role != part::lead || term != mine) throw verdict("unclear", "the lead has changed", ran::maybe, set.lose / msec);
+      if (auto row = silent(set.lose * 2); !back && !row.empty())
+        co_await unseat(row.front(), "is silent while another comes");
+      if (role != part::lead || term != mine)
+        throw verdict("unclear", "the lead has changed", ran::maybe, set.lose / msec);
       auto next = panel;
       next.push_back(who);
       auto d = tree(branch{{"panel", to_tree(next)}});
@@ -611,7 +637,15 @@
 auto ledger::send_capture(std::string addr, std::int64_t t) -> task<void> {
   auto state = law.capture();
   auto idx = applied;
-  auto q = tree(branch{{"op", "l.capture"}, {"term", t}, {"lead", me.addr}, {"idx", idx}, {"idx_term", term_at(idx)}, {"to", disk_at(addr)}, {"panel", to_tree(panel_at(idx))}, {"realm", realm}, {"state", std::move(state)}});
+  auto q = tree(branch{{"op", "l.capture"},
+                       {"term", t},
+                       {"lead", me.addr},
+                       {"idx", idx},
+                       {"idx_term", term_at(idx)},
+                       {"to", disk_at(addr)},
+                       {"panel", to_tree(panel_at(idx))},
+                       {"realm", realm},
+                       {"state", std::move(state)}});
   auto r = co_await reach(addr).ask(std::move(q), h.now() + set.lose);
   if (role != part::lead || term != t) co_return;
   if (num(r, "term") > term) co_return follow(num(r, "term"), "");
@@ -645,7 +679,14 @@
       }
       auto sent = h.now();
       auto upto = agreed;
-      auto q = tree(branch{{"op", "l.append"}, {"term", t}, {"lead", me.addr}, {"to", disk_at(addr)}, {"prev", prev}, {"prev_term", term_at(prev)}, {"commit", upto}, {"rows", std::move(rows)}});
+      auto q = tree(branch{{"op", "l.append"},
+                           {"term", t},
+                           {"lead", me.addr},
+                           {"to", disk_at(addr)},
+                           {"prev", prev},
+                           {"prev_term", term_at(prev)},
+                           {"commit", upto},
+                           {"rows", std::move(rows)}});
       auto r = co_await reach(addr).ask(std::move(q), h.now() + heat);
       if (!mine()) break;
       auto seat_id = std::string();
@@ -724,8 +765,10 @@
       applied = i;
       if (role == part::lead && i == first_own && law.turned) law.turned();  // settled: it speaks for the majority now
       if (auto it = waits.find(i); it != waits.end()) {
-        if (it->second->term == r.term) it->second->out = std::move(out);
-        else it->second->lost = true;
+        if (it->second->term == r.term)
+          it->second->out = std::move(out);
+        else
+          it->second->lost = true;
         it->second->done.wake();
         waits.erase(it);
       }
@@ -751,7 +794,11 @@
   base = upto;
   base_term = t;
   base_state = std::move(state);
-  disk.put("L/cap", seal(branch{{"idx", base}, {"term", base_term}, {"panel", to_tree(base_panel)}, {"realm", base_realm}, {"state", base_state}}));
+  disk.put("L/cap", seal(branch{{"idx", base},
+                                {"term", base_term},
+                                {"panel", to_tree(base_panel)},
+                                {"realm", base_realm},
+                                {"state", base_state}}));
   home.spawn(settle());
 }
 
@@ -785,7 +832,8 @@
   }
   if (op == "l.who") {
     auto mate = std::find(panel.begin(), panel.end(), voter{str_or(t, "addr"), str_or(t, "id")}) != panel.end();
-    co_return branch{{"id", me.id}, {"founded", founded}, {"empty", term == 0 && last() == 0}, {"lead", lead}, {"mate", mate}};
+    co_return branch{
+        {"id", me.id}, {"founded", founded}, {"empty", term == 0 && last() == 0}, {"lead", lead}, {"mate", mate}};
   }
   throw verdict("malformed", "unknown request " + op);
 }
@@ -801,16 +849,27 @@
       row["behind"] = here ? last() - solid : it == marks.end() ? last() : last() - it->second.match;
       row["silent_ms"] = here ? 0 : it == marks.end() ? -1 : (h.now() - it->second.heard) / msec;
     };
-    for (auto& r : rows) tell(r.as_object(), str(r, "addr"), "voter");
+    for (auto& r : rows)
+      tell(r.as_object(), str(r, "addr"), "voter");
     for (const auto& [a, disk_there] : learners) {
       auto row = branch{{"addr", a}, {"id", disk_there}};
       tell(row, a, "enters");
       rows.push_back(row);
     }
   }
-  return branch{{"role", role == part::lead ? "leader" : role == part::run ? "candidate" : may_vote() ? "follower" : "learner"},
-                {"leader", lead}, {"term", term}, {"last", last()}, {"agreed", agreed}, {"applied", applied},
-                {"base", base}, {"voters", rows}, {"changing", role == part::lead && changing}, {"disk", me.id}};
+  return branch{{"role", role == part::lead  ? "leader"
+                         : role == part::run ? "candidate"
+                         : may_vote()        ? "follower"
+                                             : "learner"},
+                {"leader", lead},
+                {"term", term},
+                {"last", last()},
+                {"agreed", agreed},
+                {"applied", applied},
+                {"base", base},
+                {"voters", rows},
+                {"changing", role == part::lead && changing},
+                {"disk", me.id}};
 }
 
 }  // namespace hive
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -45,7 +45,7 @@
   [[nodiscard]] auto settled() const -> bool { return leads() && applied >= first_own; }
   [[nodiscard]] auto quorum_at() const -> tick;  // when a majority last confirmed this leader
   [[nodiscard]] auto commit() const -> std::int64_t { return agreed; }
-  [[nodiscard]] auto stand() const -> tree;      // for /status
+  [[nodiscard]] auto stand() const -> tree;  // for /status
   auto reach(const std::string& addr) -> colleague&;
   // Asks the leader, wherever it is; throws verdict("no_leader") while there is none.
   auto ask_leader(tree t, tick until) -> task<tree>;
@@ -79,7 +79,7 @@
   auto append(row r) -> std::int64_t;
   auto chop(std::int64_t from) -> void;  // removes from and all after it
   [[nodiscard]] auto panel_at(std::int64_t idx) const -> std::vector<voter>;
-  auto seat() -> void;                   // the voters as the log now has them
+  auto seat() -> void;  // the voters as the log now has them
   auto follow(std::int64_t t, const std::string& who) -> void;
   auto take_lead() -> void;
   auto advance() -> void;
@@ -92,11 +92,13 @@
   [[nodiscard]] auto disk_at(const std::string& addr) const -> std::string;  // of the voter or learner there
   [[nodiscard]] auto seated(const std::string& addr) const -> bool;
   [[nodiscard]] auto peers() const -> std::vector<std::string>;  // seeds and voters, this one not among them
-  [[nodiscard]] auto silent(tick span) const -> std::vector<voter>;  // leader only: not heard for so long, the longest first
+  [[nodiscard]] auto silent(tick span) const
+      -> std::vector<voter>;  // leader only: not heard for so long, the longest first
   auto run_for(bool dry) -> task<bool>;
   auto usurp() -> task<void>;
   auto leader_gone(const std::string& addr) -> void;
-  auto canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> yes, std::shared_ptr<std::size_t> left, std::shared_ptr<signal> s) -> task<void>;
+  auto canvass(voter v, tree t, std::shared_ptr<std::set<std::string>> yes, std::shared_ptr<std::size_t> left,
+               std::shared_ptr<signal> s) -> task<void>;
   auto feed(std::string addr, std::int64_t t) -> task<void>;
   auto send_capture(std::string addr, std::int64_t t) -> task<void>;
   auto applier() -> task<void>;
--- a/ledger/ledger_test.cpp
+++ b/ledger/ledger_test.cpp
@@ -29,14 +29,17 @@
 auto sorted(std::string row) -> std::string {
   auto in = std::istringstream(row);
   auto all = std::set<std::string>();
-  for (auto one = std::string(); in >> one;) all.insert(one);
+  for (auto one = std::string(); in >> one;)
+    all.insert(one);
   row.clear();
-  for (const auto& n : all) row += n + " ";
+  for (const auto& n : all)
+    row += n + " ";
   return row;
 }
 auto go(fleet& f, tick span) -> void { f.world.run(f.world.clock + span); }
 auto start_all(fleet& f) -> void {
-  for (const auto& n : f.names("queen")) f.start(n);
+  for (const auto& n : f.names("queen"))
+    f.start(n);
   go(f, 4 * sec);
 }
 auto addr(const fleet& f, const std::string& name) -> std::string { return f.all.at(name)->set.addr; }
@@ -78,7 +81,8 @@
 TEST(ledger_founding, one_who_may_not_found_is_a_voter_all_the_same) {
   auto f = fleet(6, queens(3));
   f.all.at("queen-3")->set.found = false;
-  for (auto n : {"queen-1", "queen-2", "queen-3"}) f.start(n);
+  for (auto n : {"queen-1", "queen-2", "queen-3"})
+    f.start(n);
   f.world.run(f.world.clock + 3 * sec);
   CHECK(!f.leader().empty());
   f.kill(f.leader() == "queen-1" ? "queen-1" : "queen-2");
@@ -125,7 +129,8 @@
 // Three are named to all; the others enter by themselves, and two of five may be lost.
 TEST(ledger_voters, more_than_three_machines_all_vote) {
   auto f = fleet(9, queens(5));
-  for (const auto& n : f.names("queen")) f.all.at(n)->set.seeds.resize(3);
+  for (const auto& n : f.names("queen"))
+    f.all.at(n)->set.seeds.resize(3);
   start_all(f);
   go(f, 6 * sec);
   STRCMP_EQUAL("queen-1 queen-2 queen-3 queen-4 queen-5 ", sorted(voters(f)).c_str());
@@ -156,7 +161,8 @@
   auto s = queens(3);
   s.combs = s.foragers = 1;
   auto f = fleet(11, s);
-  for (const auto& [n, p] : f.all) f.start(n);
+  for (const auto& [n, p] : f.all)
+    f.start(n);
   go(f, 4 * sec);
   for (auto lost : {"queen-1", "queen-2", "queen-3"}) {
     f.remove(lost);
@@ -197,7 +203,8 @@
   }
 }
 
-// A disk that takes no more: it neither votes nor leads on what is not there, keeps running, and follows again with room.
+// A disk that takes no more: it neither votes nor leads on what is not there, keeps running, and follows again with
+// room.
 TEST_GROUP(ledger_disks){};
 TEST(ledger_disks, a_full_one_steps_back_and_comes_again) {
   auto f = fleet(13, queens(3));
--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -7,13 +7,16 @@
 namespace hive {
 
 balancer::balancer(host& hh, std::vector<std::string> webs) : h(hh), home(hh) {
-  for (auto& w : webs) home.spawn(poll(w));
+  for (auto& w : webs)
+    home.spawn(poll(w));
 }
 auto balancer::poll(std::string web) -> task<void> {
   while (true) {
     auto r = co_await fetch(h, web, "GET", "/readyz", "", h.now() + sec);
-    if (r.code == 200) ready.insert(web);
-    else ready.erase(web);
+    if (r.code == 200)
+      ready.insert(web);
+    else
+      ready.erase(web);
     co_await rest(h, 400 * msec);
   }
 }
@@ -23,7 +26,8 @@
 }
 
 caller::caller(host& hh, balancer& p, history& l, plan w) : h(hh), fleet(p), log(l), what(std::move(w)), home(hh) {
-  for (auto& t : what.hear) pos[t] = -1;
+  for (auto& t : what.hear)
+    pos[t] = -1;
   home.spawn(live());
   if (!what.tell.empty()) home.spawn(talk());
   if (what.drop < never) home.spawn(droppings());
@@ -35,8 +39,10 @@
 auto caller::droppings() -> task<void> {
   while (true) {
     co_await rest(h, h.spread(what.drop));
-    if (h.below(4) == 0) jump();
-    else reset();
+    if (h.below(4) == 0)
+      jump();
+    else
+      reset();
   }
 }
 
@@ -78,8 +84,10 @@
         take(boost::json::parse(*row));
       }
       linked = false;
-      if (hop && !l->way().shut) home.spawn(ghost(h, l));
-      else l->way().close();
+      if (hop && !l->way().shut)
+        home.spawn(ghost(h, l));
+      else
+        l->way().close();
       io.reset();
     }
     co_await rest(h, back_in);
@@ -136,7 +144,13 @@
   if (op == "deliver") {
     auto topic = str(t, "topic");
     auto p = num(t, "pos");
-    log.note(h, branch{{"e", "got"}, {"who", what.name}, {"topic", topic}, {"pos", p}, {"from", sub(t, "from")}, {"seq", sub(t, "seq")}, {"body", sub(t, "body")}});
+    log.note(h, branch{{"e", "got"},
+                       {"who", what.name},
+                       {"topic", topic},
+                       {"pos", p},
+                       {"from", sub(t, "from")},
+                       {"seq", sub(t, "seq")},
+                       {"body", sub(t, "body")}});
     pos[topic] = p;
     if (auto it = log.sent.find({topic + " " + str(t, "from"), num(t, "seq")}); it != log.sent.end())
       log.deliveries[topic.substr(0, topic.find('/'))].push_back(h.now() - it->second);
@@ -175,7 +189,14 @@
   if (kind != "publish") return;
   auto topic = str(t, "topic");
   auto it = open.find({topic, num(t, "seq")});
-  log.note(h, branch{{"e", "verdict"}, {"who", what.name}, {"topic", topic}, {"seq", sub(t, "seq")}, {"verdict", v}, {"code", code}, {"retry", num_or(t, "retry_ms", -1)}, {"pos", num_or(t, "pos", -1)}});
+  log.note(h, branch{{"e", "verdict"},
+                     {"who", what.name},
+                     {"topic", topic},
+                     {"seq", sub(t, "seq")},
+                     {"verdict", v},
+                     {"code", code},
+                     {"retry", num_or(t, "retry_ms", -1)},
+                     {"pos", num_or(t, "pos", -1)}});
   ++log.counts["publish " + v + (code.empty() ? "" : " " + code)];
   if (it == open.end()) return;
   auto& f = it->second;
@@ -237,13 +258,15 @@
 // Asks a forager whether a charter serves: only one number's probe topic is allowed.
 auto keeper::probe(std::string node, std::int64_t n) -> task<void> {
   auto t0 = h.now() / msec;
-  auto body = text(branch{{"name", "prober"}, {"topic", "probe/v" + std::to_string(n)}, {"seq", ++count}, {"body", "probe"}});
+  auto body =
+      text(branch{{"name", "prober"}, {"topic", "probe/v" + std::to_string(n)}, {"seq", ++count}, {"body", "probe"}});
   auto r = co_await fetch(h, node, "POST", "/v1/publish", body, h.now() + 2 * sec);
   if (r.code == 200) log.note(h, branch{{"e", "probe"}, {"node", node}, {"number", n}, {"t0", t0}});
 }
 auto keeper::probe_all(std::int64_t low, std::int64_t high) -> task<void> {
   for (auto& f : foragers)
-    for (auto n = low; n <= high; ++n) co_await probe(f, n);
+    for (auto n = low; n <= high; ++n)
+      co_await probe(f, n);
 }
 
 // All day: each forager in turn is asked for the newest charter and the two before it,
@@ -251,7 +274,8 @@
 auto keeper::stroll(std::function<std::int64_t()> newest) -> task<void> {
   for (auto i = std::size_t{0};; ++i) {
     auto n = newest();
-    for (auto k = n; k > 0 && k > n - 3; --k) co_await probe(foragers[i % foragers.size()], k);
+    for (auto k = n; k > 0 && k > n - 3; --k)
+      co_await probe(foragers[i % foragers.size()], k);
     if (i % 4 == 0) co_await pull(queens[h.below(queens.size())], h.now() + 2 * sec);
     co_await rest(h, 100 * msec);
   }
@@ -329,7 +353,8 @@
 
 auto probe_charter(std::int64_t number, const std::string& spaces) -> std::string {
   auto n = std::to_string(number);
-  return R"({"number":)" + n + R"(,"spaces":[)" + spaces + R"(,{"name":"probe","keep_s":0,"cells":1}],"rules":["allow publish on probe/v)" + n +
+  return R"({"number":)" + n + R"(,"spaces":[)" + spaces +
+         R"(,{"name":"probe","keep_s":0,"cells":1}],"rules":["allow publish on probe/v)" + n +
          R"( for prober","deny all on probe/*","allow all on *"]})";
 }
 
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -27,7 +27,7 @@
  public:
   balancer(host& h, std::vector<std::string> webs);
   auto watch(const std::string& web) -> void { home.spawn(poll(web)); }  // a machine added
-  auto draw() -> std::string;  // empty: none is ready
+  auto draw() -> std::string;                                            // empty: none is ready
   std::set<std::string> ready;
 
  private:
@@ -41,15 +41,15 @@
   struct plan {
     std::string name;
     std::vector<std::string> hear, tell;
-    tick every = sec;      // between publishes
-    tick drop = never;     // about how long a link is kept before it is dropped by itself
-    int pipe = 1;          // publishes of one topic open at a time
-    tick echo = 0;         // accepted publishes are sent again after up to so long
-    tick until = never;    // publishes stop then
+    tick every = sec;    // between publishes
+    tick drop = never;   // about how long a link is kept before it is dropped by itself
+    int pipe = 1;        // publishes of one topic open at a time
+    tick echo = 0;       // accepted publishes are sent again after up to so long
+    tick until = never;  // publishes stop then
   };
   caller(host& h, balancer& p, history& log, plan what);
-  auto reset() -> void;  // its connection is reset
-  auto jump() -> void { hop = true; }  // comes back elsewhere while its old link stays half open
+  auto reset() -> void;                    // its connection is reset
+  auto jump() -> void { hop = true; }      // comes back elsewhere while its old link stays half open
   auto hush() -> void { what.until = 0; }  // new publishes stop; open ones are seen through
   auto lull() -> void { what.drop = never; }
   bool linked = false;
@@ -72,9 +72,9 @@
   history& log;
   plan what;
   std::shared_ptr<lines> io;
-  std::map<std::string, std::int64_t> pos;  // by topic: where it stands
+  std::map<std::string, std::int64_t> pos;                      // by topic: where it stands
   std::map<std::pair<std::string, std::int64_t>, flight> open;  // by topic and seq
-  std::vector<flight> echoes;               // accepted, to be sent again
+  std::vector<flight> echoes;                                   // accepted, to be sent again
   std::map<std::string, std::int64_t> seq;
   tick back_in = 0;
   bool hop = false, seeking = false;
@@ -86,12 +86,12 @@
  public:
   keeper(host& h, std::vector<std::string> queens, std::vector<std::string> foragers, history& log);
   auto meet(std::string queen) -> void { queens.push_back(std::move(queen)); }  // one that was added
-  auto put(std::int64_t number, std::string body) -> task<bool>;  // true once told accepted
+  auto put(std::int64_t number, std::string body) -> task<bool>;                // true once told accepted
   auto await_held(std::int64_t number, tick until) -> task<bool>;
   auto probe_all(std::int64_t low, std::int64_t high) -> task<void>;
   auto leave(std::string name, std::string kind, tick until) -> task<bool>;
-  auto evacuate(std::string zone, tick until) -> task<bool>;  // true once nothing is left there
-  auto read_back(tick until) -> task<bool>;  // from a queen drawn at random
+  auto evacuate(std::string zone, tick until) -> task<bool>;               // true once nothing is left there
+  auto read_back(tick until) -> task<bool>;                                // from a queen drawn at random
   auto read_all(std::vector<std::string> from, tick until) -> task<bool>;  // from each of these
   auto stroll(std::function<std::int64_t()> newest) -> task<void>;  // probes and reads at a steady pace, for ever
   auto ask(std::string verb, std::string path, std::string body, tick until) -> task<reply>;
--- a/meadow/judge.cpp
+++ b/meadow/judge.cpp
@@ -28,7 +28,7 @@
   std::map<std::string, std::int64_t> keep;
   std::map<std::pair<std::string, std::int64_t>, std::pair<std::string, std::int64_t>> at;  // topic, pos -> who, seq
   std::map<post_key, std::int64_t> where;
-  std::vector<std::pair<std::int64_t, std::int64_t>> held;       // t, number
+  std::vector<std::pair<std::int64_t, std::int64_t>> held;                         // t, number
   std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> seen;  // node -> t, number
   struct word {
     std::int64_t t, number;
@@ -53,20 +53,25 @@
   auto got(const tree& e) -> void {
     auto who = str(e, "who"), topic = str(e, "topic"), from = str(e, "from"), body = str(e, "body");
     auto seq = num(e, "seq"), pos = num(e, "pos"), t = num(e, "t");
-    auto name = who + " " + topic + " @" + std::to_string(pos) + " from " + from + " #" + std::to_string(seq) + " t=" + std::to_string(t);
+    auto name = who + " " + topic + " @" + std::to_string(pos) + " from " + from + " #" + std::to_string(seq) +
+                " t=" + std::to_string(t);
     auto it = ears.find({who, topic});
     if (it == ears.end() || !it->second.on) return bad("unasked", name);
     auto& ear = it->second;
     auto p = posts.find({topic, from, seq});
-    if (p == posts.end()) bad("unsent", name);
-    else if (p->second.body != body) bad("altered", name);
+    if (p == posts.end())
+      bad("unsent", name);
+    else if (p->second.body != body)
+      bad("altered", name);
     if (!ear.got.insert({from, seq}).second) bad("twice", name);
-    if (auto h = ear.by.find(from); h != ear.by.end() && h->second > seq) bad("late", name + " after #" + std::to_string(h->second));
+    if (auto h = ear.by.find(from); h != ear.by.end() && h->second > seq)
+      bad("late", name + " after #" + std::to_string(h->second));
     ear.by[from] = std::max(ear.by[from], seq);
     if (pos <= ear.pos) bad("order", name + " after @" + std::to_string(ear.pos));
     ear.pos = std::max(ear.pos, pos);
     auto [w, fresh] = at.emplace(std::pair(topic, pos), std::pair(from, seq));
-    if (!fresh && w->second != std::pair(from, seq)) bad("order", name + ": another saw " + w->second.first + " #" + std::to_string(w->second.second) + " there");
+    if (!fresh && w->second != std::pair(from, seq))
+      bad("order", name + ": another saw " + w->second.first + " #" + std::to_string(w->second.second) + " there");
     auto [s, first] = where.emplace(post_key(topic, from, seq), pos);
     if (!first && s->second != pos) bad("repeat", name + ": delivered at @" + std::to_string(s->second) + " too");
   }
@@ -83,7 +88,8 @@
       auto lacks = pos > after || (pos < 0 && p.refused < p.tries);
       if (lacks && t - p.first > keep_of(topic) * 1000) old = true;
     }
-    if (!old) bad("resume", str(e, "who") + " " + topic + " after @" + std::to_string(after) + " t=" + std::to_string(t));
+    if (!old)
+      bad("resume", str(e, "who") + " " + topic + " after @" + std::to_string(after) + " t=" + std::to_string(t));
     auto& ear = ears[{str(e, "who"), topic}];
     ear = ear_end(ear);
   }
@@ -99,9 +105,13 @@
     auto n = num(e, "number"), t0 = num(e, "t0"), t = num(e, "t");
     auto& row = seen[node];
     for (const auto& [when, number] : held)
-      if (t0 >= when + 3000 && n < number) bad("stale", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + ", " + std::to_string(number) + " was told held at " + std::to_string(when));
+      if (t0 >= when + 3000 && n < number)
+        bad("stale", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + ", " +
+                         std::to_string(number) + " was told held at " + std::to_string(when));
     for (const auto& [when, number] : row)
-      if (t0 > when + 250 && n < number) bad("drift", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + " after " + std::to_string(number) + " at " + std::to_string(when));
+      if (t0 > when + 250 && n < number)
+        bad("drift", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + " after " +
+                         std::to_string(number) + " at " + std::to_string(when));
     row.emplace_back(t, n);
   }
 
@@ -111,7 +121,8 @@
     for (const auto& [k, p] : posts) {
       const auto& [topic, who, seq] = k;
       auto name = topic + " from " + who + " #" + std::to_string(seq);
-      if (where.count(k) && p.tries > 0 && p.refused == p.tries) bad("refused", name + ": refused " + std::to_string(p.tries) + " times, yet delivered");
+      if (where.count(k) && p.tries > 0 && p.refused == p.tries)
+        bad("refused", name + ": refused " + std::to_string(p.tries) + " times, yet delivered");
       if (p.acked < 0 || keep_of(topic) == 0 || p.acked > t - quiet) continue;
       for (const auto& [w, ear] : ears) {
         if (w.second != topic || !ear.on || ear.since >= p.first) continue;
@@ -134,10 +145,13 @@
   auto overdue(const std::pair<const std::string, std::int64_t>& one, std::int64_t t) -> void {
     if (!well) return;
     auto due = std::max(one.second, mended) + 12000;
-    if (t > due) bad("serving", one.first + " waits since " + std::to_string(one.second) + ", still at " + std::to_string(t) + "; the last fault ended at " + std::to_string(mended));
+    if (t > due)
+      bad("serving", one.first + " waits since " + std::to_string(one.second) + ", still at " + std::to_string(t) +
+                         "; the last fault ended at " + std::to_string(mended));
   }
   auto settle(std::int64_t t) -> void {
-    for (const auto& one : open) overdue(one, t);
+    for (const auto& one : open)
+      overdue(one, t);
   }
   auto hurt(std::int64_t t) -> void {
     if (well) {
@@ -173,7 +187,9 @@
       const auto& [topic, who, seq] = k;
       auto ms = bound(topic);
       if (ms < 0 || p.first < 0 || !calm_at(p.first, p.first + ms) || away(who, p.first, p.first + ms)) continue;
-      if (p.acked < 0 || p.acked > p.first + ms) bad("budget", topic + " from " + who + " #" + std::to_string(seq) + " t=" + std::to_string(p.first) + ": acked after " + std::to_string(p.acked - p.first) + " ms");
+      if (p.acked < 0 || p.acked > p.first + ms)
+        bad("budget", topic + " from " + who + " #" + std::to_string(seq) + " t=" + std::to_string(p.first) +
+                          ": acked after " + std::to_string(p.acked - p.first) + " ms");
     }
     for (const auto& g : gifts) {
       auto p = posts.find({g.topic, g.from, g.seq});
@@ -181,7 +197,8 @@
       if (ms < 0 || p == posts.end() || g.t <= p->second.first + ms) continue;
       auto first = p->second.first;
       if (!calm_at(first, first + ms) || away(g.from, first, first + ms) || away(g.who, first, g.t)) continue;
-      bad("budget", g.topic + " from " + g.from + " #" + std::to_string(g.seq) + ": came to " + g.who + " after " + std::to_string(g.t - first) + " ms");
+      bad("budget", g.topic + " from " + g.from + " #" + std::to_string(g.seq) + ": came to " + g.who + " after " +
+                        std::to_string(g.t - first) + " ms");
     }
   }
 
@@ -192,14 +209,18 @@
     auto top = word{0, 0, {}};
     for (const auto& p : puts)
       if (p.t < t0 && p.number > top.number) top = p;
-    if (n < top.number) return bad("readback", "told at " + std::to_string(top.t) + " that " + std::to_string(top.number) + " was accepted, read " + std::to_string(n) + " at " + std::to_string(t0));
+    if (n < top.number)
+      return bad("readback", "told at " + std::to_string(top.t) + " that " + std::to_string(top.number) +
+                                 " was accepted, read " + std::to_string(n) + " at " + std::to_string(t0));
     for (const auto& p : puts)
-      if (p.number == n && p.sum != str_or(e, "sum")) bad("readback", "number " + std::to_string(n) + " reads back with other content");
+      if (p.number == n && p.sum != str_or(e, "sum"))
+        bad("readback", "number " + std::to_string(n) + " reads back with other content");
   }
   auto leaves(const tree& e) -> void {
     auto t0 = num(e, "t0");
     auto names = std::set<std::string>();
-    for (const auto& n : list(e, "names")) names.insert(std::string(n.as_string()));
+    for (const auto& n : list(e, "names"))
+      names.insert(std::string(n.as_string()));
     for (const auto& [t, n] : left)
       if (t < t0 && !names.count(n)) bad("forgotten", n + " was told gone, and is not at " + std::to_string(t0));
   }
@@ -209,7 +230,8 @@
     auto t = num_or(e, "t", 0);
     now = std::max(now, t);
     auto topic = str_or(e, "topic"), who = str_or(e, "who");
-    if (k == "space") keep[str(e, "name")] = num(e, "keep_s");
+    if (k == "space")
+      keep[str(e, "name")] = num(e, "keep_s");
     else if (k == "try") {
       auto& p = posts[{topic, who, num(e, "seq")}];
       if (p.first < 0) p.first = t;
@@ -221,9 +243,11 @@
       auto& p = posts[{topic, who, num(e, "seq")}];
       auto v = str(e, "verdict");
       if (v == "refused") ++p.refused;
-      if (v == "acked" || (v == "refused" && num_or(e, "retry", -1) < 0)) has("publish " + topic + " " + who + " #" + std::to_string(num(e, "seq")), t);
+      if (v == "acked" || (v == "refused" && num_or(e, "retry", -1) < 0))
+        has("publish " + topic + " " + who + " #" + std::to_string(num(e, "seq")), t);
       if (v == "refused" && num_or(e, "retry", -1) < 0 && p.acked >= 0 && t - p.acked <= 10000)
-        bad("unrepeated", topic + " from " + who + " #" + std::to_string(num(e, "seq")) + ": accepted, yet its repeat was refused");
+        bad("unrepeated",
+            topic + " from " + who + " #" + std::to_string(num(e, "seq")) + ": accepted, yet its repeat was refused");
       if (v == "acked") {
         if (p.acked < 0) p.acked = t;
         if (auto pos = num_or(e, "pos", -1); pos >= 0) {
@@ -244,30 +268,41 @@
     } else if (k == "gone") {
       has("subscribe " + topic + " " + who, t);
       gone(e);
-    }
-    else if (k == "unsub") ears[{who, topic}] = ear_end(ears[{who, topic}]);
+    } else if (k == "unsub")
+      ears[{who, topic}] = ear_end(ears[{who, topic}]);
     else if (k == "got") {
       got(e);
       gifts.push_back({who, topic, str(e, "from"), num(e, "seq"), t});
-    }
-    else if (k == "held") held.emplace_back(t, num(e, "number"));
-    else if (k == "probe") probe(e);
-    else if (k == "put") puts.push_back({t, num(e, "number"), str_or(e, "sum")});
-    else if (k == "newest") newest(e);
-    else if (k == "left") left.emplace_back(t, str(e, "name"));
-    else if (k == "leaves") leaves(e);
-    else if (k == "hurt") hurt(t);
+    } else if (k == "held")
+      held.emplace_back(t, num(e, "number"));
+    else if (k == "probe")
+      probe(e);
+    else if (k == "put")
+      puts.push_back({t, num(e, "number"), str_or(e, "sum")});
+    else if (k == "newest")
+      newest(e);
+    else if (k == "left")
+      left.emplace_back(t, str(e, "name"));
+    else if (k == "leaves")
+      leaves(e);
+    else if (k == "hurt")
+      hurt(t);
     else if (k == "mend") {
       well = true;
       mended = t;
     } else if (k == "seek") {
       seeks[who].push_back(t);
       wants("link of " + who, t);
-    } else if (k == "linked") has("link of " + who, t);
-    else if (k == "ask") wants(str(e, "what"), t);
-    else if (k == "told") has(str(e, "what"), t);
-    else if (k == "budget") budgets[str(e, "space")] = num(e, "ms");
-    else if (k == "end") end(e);
+    } else if (k == "linked")
+      has("link of " + who, t);
+    else if (k == "ask")
+      wants(str(e, "what"), t);
+    else if (k == "told")
+      has(str(e, "what"), t);
+    else if (k == "budget")
+      budgets[str(e, "space")] = num(e, "ms");
+    else if (k == "end")
+      end(e);
   }
 };
 
@@ -275,7 +310,8 @@
 
 auto judge(const std::vector<tree>& seen) -> std::vector<breach> {
   auto c = court();
-  for (const auto& e : seen) c.take(e);
+  for (const auto& e : seen)
+    c.take(e);
   return std::move(c.out);
 }
 
--- a/meadow/main.cpp
+++ b/meadow/main.cpp
@@ -26,10 +26,10 @@
   double slow_rate, fast_rate;
   std::string slow, fast;
 };
-const auto layouts = std::map<std::string, layout>{
-    {"small", {3, 3, 3, 2, 24, 12, 4, 20, 4, "lookups", "alerts"}},
-    {"hovorna", {4, 3, 4, 8, 590, 200, 30, 117, 8, "lookups", "alerts"}},
-    {"podnebni", {3, 3, 4, 7, 580, 600, 30, 282, 8, "readings", "floods"}}};
+const auto layouts =
+    std::map<std::string, layout>{{"small", {3, 3, 3, 2, 24, 12, 4, 20, 4, "lookups", "alerts"}},
+                                  {"hovorna", {4, 3, 4, 8, 590, 200, 30, 117, 8, "lookups", "alerts"}},
+                                  {"podnebni", {3, 3, 4, 7, 580, 600, 30, 282, 8, "readings", "floods"}}};
 
 // A process started here; it ends with its holder.
 struct child {
@@ -39,7 +39,8 @@
   auto start(const std::string& logs) -> void {
     if (pid) return;
     auto raw = std::vector<char*>();
-    for (auto& a : argv) raw.push_back(a.data());
+    for (auto& a : argv)
+      raw.push_back(a.data());
     raw.push_back(nullptr);
     auto acts = posix_spawn_file_actions_t();
     posix_spawn_file_actions_init(&acts);
@@ -82,7 +83,8 @@
       c->name = kind + "-" + std::to_string(i);
       c->zone = zone;
       c->argv = {bin + "/" + kind, "--name", c->name, "--zone", zone, "--seeds", seeds};
-      for (auto& m : more) c->argv.push_back(m);
+      for (auto& m : more)
+        c->argv.push_back(m);
       all.push_back(std::move(c));
     };
     auto zone = [&](int i) { return "z" + std::to_string((i - 1) % form.zones + 1); };
@@ -104,28 +106,35 @@
   }
 
   auto spaces() const -> std::string {
-    return R"({"name":")" + form.fast + R"(","keep_s":35,"urgency":9,"cells":4},{"name":")" + form.slow + R"(","keep_s":35,"urgency":1,"cells":8})";
+    return R"({"name":")" + form.fast + R"(","keep_s":35,"urgency":9,"cells":4},{"name":")" + form.slow +
+           R"(","keep_s":35,"urgency":1,"cells":8})";
   }
 
   // The whole run; true if no promise was broken.
   auto run(int seconds, bool faults, bool stay, bool whole_day) -> task<bool> {
-    for (auto& c : all) c->start(folder);
+    for (auto& c : all)
+      c->start(folder);
     spread = std::make_unique<balancer>(h, webs);
     boss = std::make_unique<keeper>(h, queens, webs, log);
-    for (auto& s : {form.fast, form.slow}) log.note(h, branch{{"e", "space"}, {"name", s}, {"keep_s", 35}});
+    for (auto& s : {form.fast, form.slow})
+      log.note(h, branch{{"e", "space"}, {"name", s}, {"keep_s", 35}});
     auto body = probe_charter(1, spaces());
     auto t0 = h.now();
     auto ok = false;
-    while (!ok && h.now() < t0 + 40 * sec) ok = co_await boss->put(1, body);
+    while (!ok && h.now() < t0 + 40 * sec)
+      ok = co_await boss->put(1, body);
     if (ok) ok = co_await boss->await_held(1, h.now() + 40 * sec);
     if (!ok) {
       std::cout << "the fleet did not come up; logs are in " << folder << '\n';
       co_return false;
     }
-    std::cout << "fleet of " << all.size() << " processes serves after " << (h.now() - t0) / msec << " ms\n" << std::flush;
+    std::cout << "fleet of " << all.size() << " processes serves after " << (h.now() - t0) / msec << " ms\n"
+              << std::flush;
     if (stay) {
-      std::cout << "operators: http://" << queens[0] << "  callers: http://" << webs[0] << "  (stop with ^C)\n" << std::flush;
-      while (true) co_await rest(h, sec);
+      std::cout << "operators: http://" << queens[0] << "  callers: http://" << webs[0] << "  (stop with ^C)\n"
+                << std::flush;
+      while (true)
+        co_await rest(h, sec);
     }
     plant();
     co_await rest(h, 5 * sec);
@@ -159,7 +168,8 @@
       co_await nap(h, begin + part * 4);
       if (whole_day) co_await day();
     }
-    for (auto& c : callers) c->hush();
+    for (auto& c : callers)
+      c->hush();
     co_await rest(h, 14 * sec);
     auto whole = co_await boss->read_all(queens, h.now() + 20 * sec);
     if (!whole) log.note(h, branch{{"e", "newest"}, {"number", 0}, {"t0", h.now() / msec}});
@@ -174,13 +184,16 @@
       auto p = caller::plan();
       p.name = "caller-" + std::to_string(i);
       p.hear = {form.fast + "/t" + std::to_string(i % form.fast_topics)};
-      for (auto k = 0; k < 2; ++k) p.hear.push_back(form.slow + "/t" + std::to_string((i * 2 + k * 7) % form.slow_topics));
+      for (auto k = 0; k < 2; ++k)
+        p.hear.push_back(form.slow + "/t" + std::to_string((i * 2 + k * 7) % form.slow_topics));
       std::sort(p.hear.begin(), p.hear.end());
       p.hear.erase(std::unique(p.hear.begin(), p.hear.end()), p.hear.end());
       auto fast = i < alert_callers;
       auto rate = fast ? form.fast_rate / alert_callers : form.slow_rate / (form.links - alert_callers);
       p.every = static_cast<tick>(sec / rate);
-      for (auto k = 0; k < 4; ++k) p.tell.push_back((fast ? form.fast : form.slow) + "/t" + std::to_string((i * 4 + k) % (fast ? form.fast_topics : form.slow_topics)));
+      for (auto k = 0; k < 4; ++k)
+        p.tell.push_back((fast ? form.fast : form.slow) + "/t" +
+                         std::to_string((i * 4 + k) % (fast ? form.fast_topics : form.slow_topics)));
       p.drop = 60 * sec;
       callers.push_back(std::make_unique<caller>(h, *spread, log, p));
     }
@@ -200,7 +213,8 @@
       auto r = co_await fetch(h, c->web, "GET", "/status", "", h.now() + sec);
       auto n = 0;
       if (sub(r.body, "cells").is_object())
-        for (const auto& kv : sub(r.body, "cells").as_object()) n += str_or(kv.value(), "role") == "primary";
+        for (const auto& kv : sub(r.body, "cells").as_object())
+          n += str_or(kv.value(), "role") == "primary";
       if (n > most) {
         most = n;
         best = c->name;
@@ -232,7 +246,8 @@
     both.push_back("scout-1");
     co_await freeze("freeze a forager and its scout", both, 2500 * msec);
     auto order = rolled();
-    for (auto& n : order) co_await roll(n);
+    for (auto& n : order)
+      co_await roll(n);
     events.push_back({"reset nearly all callers", h.now()});
     for (auto& c : callers)
       if (h.below(20)) c->reset();
@@ -244,13 +259,17 @@
     auto won = 0, ended = 0;
     home.spawn(race(mine, won, ended));
     home.spawn(race(theirs, won, ended));
-    while (ended < 2) co_await rest(h, 50 * msec);
+    while (ended < 2)
+      co_await rest(h, 50 * msec);
     auto old = probe_charter(2, spaces());
     auto r = co_await boss->ask("PUT", "/v1/charter", old, h.now() + 10 * sec);
     auto junk = std::string(R"({"number":99,"spaces":[{"name":"x","keep_s":-5}],"rules":["allow what"]})");
     auto r2 = co_await boss->ask("PUT", "/v1/charter", junk, h.now() + 10 * sec);
-    std::cout << "operators: " << won << " of 2 racing charters won; a stale one got " << r.code << ", an invalid one " << r2.code << '\n' << std::flush;
-    if (won != 1 || r.code == 200 || r2.code == 200) log.note(h, branch{{"e", "newest"}, {"number", -1}, {"t0", h.now() / msec}});
+    std::cout << "operators: " << won << " of 2 racing charters won; a stale one got " << r.code << ", an invalid one "
+              << r2.code << '\n'
+              << std::flush;
+    if (won != 1 || r.code == 200 || r2.code == 200)
+      log.note(h, branch{{"e", "newest"}, {"number", -1}, {"t0", h.now() / msec}});
     auto took = co_await boss->await_held(3, h.now() + 20 * sec);
     if (took) {
       co_await rest(h, 3 * sec);
@@ -269,7 +288,8 @@
     std::cout << "evacuation of comb-4: " << (gone ? "done" : "not done in 30 s") << '\n' << std::flush;
     // The last one: everything is killed at once, and comes back.
     auto every = std::vector<std::string>();
-    for (auto& c : all) every.push_back(c->name);
+    for (auto& c : all)
+      every.push_back(c->name);
     co_await blow("kill the whole fleet", every, 3 * sec);
     log.note(h, branch{{"e", "mend"}});
     co_await rest(h, 14 * sec);
@@ -289,9 +309,11 @@
   auto freeze(std::string what, std::vector<std::string> names, tick span) -> task<void> {
     events.push_back({what, h.now()});
     log.note(h, branch{{"e", "hurt"}});
-    for (auto& n : names) find(n).tell(SIGSTOP);
+    for (auto& n : names)
+      find(n).tell(SIGSTOP);
     co_await rest(h, span);
-    for (auto& n : names) find(n).tell(SIGCONT);
+    for (auto& n : names)
+      find(n).tell(SIGCONT);
     log.note(h, branch{{"e", "mend"}});
     events.back().back = h.now();
     co_await rest(h, 5 * sec);
@@ -313,10 +335,12 @@
   auto blow(std::string what, std::vector<std::string> names, tick gone) -> task<void> {
     auto t = h.now();
     log.note(h, branch{{"e", "hurt"}});
-    for (auto& n : names) find(n).end(SIGKILL);
+    for (auto& n : names)
+      find(n).end(SIGKILL);
     events.push_back({what, t});
     co_await rest(h, gone);
-    for (auto& n : names) find(n).start(folder);
+    for (auto& n : names)
+      find(n).start(folder);
     log.note(h, branch{{"e", "mend"}});
     events.back().back = h.now();
   }
@@ -347,8 +371,10 @@
                 << " p99=" << quantile(v, .99) << " max=" << quantile(v, 1) << " ms\n";
     };
     std::cout << "latency over " << secs << " s, first try to outcome\n";
-    for (auto& [s, v] : log.acks) show("ack " + s, v);
-    for (auto& [s, v] : log.deliveries) show("delivery " + s, v);
+    for (auto& [s, v] : log.acks)
+      show("ack " + s, v);
+    for (auto& [s, v] : log.deliveries)
+      show("delivery " + s, v);
     show("replication lag", lags);
     // For each fault: the longest that a publish first tried around it had to wait for its ack.
     auto first = std::map<std::tuple<std::string, std::string, std::int64_t>, std::int64_t>();
@@ -368,19 +394,28 @@
           worst = std::max(worst, w);
           late += w > 1000;
         }
-      std::cout << "fault: " << ev.what << ": longest wait for an ack " << worst << " ms, " << late << " waited over 1 s\n";
+      std::cout << "fault: " << ev.what << ": longest wait for an ack " << worst << " ms, " << late
+                << " waited over 1 s\n";
     }
-    for (auto& [k, v] : log.counts) std::cout << "  answers: " << k << " " << v << '\n';
+    for (auto& [k, v] : log.counts)
+      std::cout << "  answers: " << k << " " << v << '\n';
     auto s = std::int64_t{0}, b = std::int64_t{0}, acked = std::int64_t{0};
-    for (auto& [n, v] : syncs) s += v;
-    for (auto& [n, v] : bytes) b += v;
-    for (auto& [n, v] : log.acks) acked += static_cast<std::int64_t>(v.size());
-    if (acked) std::cout << "  disks: " << static_cast<double>(s) / static_cast<double>(acked) << " syncs and " << b / acked << " bytes per acked message, all combs together (combs killed count from their restart)\n";
-    for (auto i = std::size_t{0}; i < breaches.size() && i < 20; ++i) std::cout << "BROKEN " << breaches[i].rule << ": " << breaches[i].what << '\n';
+    for (auto& [n, v] : syncs)
+      s += v;
+    for (auto& [n, v] : bytes)
+      b += v;
+    for (auto& [n, v] : log.acks)
+      acked += static_cast<std::int64_t>(v.size());
+    if (acked)
+      std::cout << "  disks: " << static_cast<double>(s) / static_cast<double>(acked) << " syncs and " << b / acked
+                << " bytes per acked message, all combs together (combs killed count from their restart)\n";
+    for (auto i = std::size_t{0}; i < breaches.size() && i < 20; ++i)
+      std::cout << "BROKEN " << breaches[i].rule << ": " << breaches[i].what << '\n';
     std::cout << breaches.size() << " broken promises\n";
     if (!breaches.empty()) {
       auto out = std::ofstream(folder + "/history.jsonl");
-      for (auto& e : log.rows) out << text(e) << '\n';
+      for (auto& e : log.rows)
+        out << text(e) << '\n';
     }
     return breaches.empty();
   }
@@ -412,16 +447,20 @@
   auto* dir = static_cast<char*>(nullptr);
   auto* bin = static_cast<char*>(nullptr);
   auto seconds = 60, port = 17000, calm = 0, stay = 0, day = 0;
-  poptOption opts[] = {{"shape", 0, POPT_ARG_STRING, &shape, 0, "small, hovorna or podnebni", "SHAPE"},
-                       {"dir", 0, POPT_ARG_STRING, &dir, 0, "folder for data and logs; a new one by default", "DIR"},
-                       {"bin", 0, POPT_ARG_STRING, &bin, 0, "folder of the daemons; by default this program's own", "DIR"},
-                       {"seconds", 0, POPT_ARG_INT, &seconds, 0, "how long callers go on", "N"},
-                       {"port", 0, POPT_ARG_INT, &port, 0, "first port", "N"},
-                       {"calm", 0, POPT_ARG_NONE, &calm, 0, "no faults", nullptr},
-                       {"day", 0, POPT_ARG_NONE, &day, 0, "after the three kills: freezes, rolls, resets, racing operators, a lost disk, an evacuation, and all killed at the end", nullptr},
-                       {"stay", 0, POPT_ARG_NONE, &stay, 0, "only start the fleet and keep it, to try by hand", nullptr},
-                       {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
-                       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  poptOption opts[] = {
+      {"shape", 0, POPT_ARG_STRING, &shape, 0, "small, hovorna or podnebni", "SHAPE"},
+      {"dir", 0, POPT_ARG_STRING, &dir, 0, "folder for data and logs; a new one by default", "DIR"},
+      {"bin", 0, POPT_ARG_STRING, &bin, 0, "folder of the daemons; by default this program's own", "DIR"},
+      {"seconds", 0, POPT_ARG_INT, &seconds, 0, "how long callers go on", "N"},
+      {"port", 0, POPT_ARG_INT, &port, 0, "first port", "N"},
+      {"calm", 0, POPT_ARG_NONE, &calm, 0, "no faults", nullptr},
+      {"day", 0, POPT_ARG_NONE, &day, 0,
+       "after the three kills: freezes, rolls, resets, racing operators, a lost disk, an evacuation, and all killed at "
+       "the end",
+       nullptr},
+      {"stay", 0, POPT_ARG_NONE, &stay, 0, "only start the fleet and keep it, to try by hand", nullptr},
+      {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
+      {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
   using context = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>;
   auto ctx = context(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
   if (auto r = poptGetNextOpt(ctx.get()); r < -1) {
--- a/mutants.sh
+++ b/mutants.sh
@@ -18,7 +18,11 @@
   from=${from//'\n'/$'\n'}
   to=${to//'\n'/$'\n'}
   cp "$work/$file" "$work/kept"
-  if ! FROM="$from" TO="$to" perl -0pi -e 'BEGIN{$f=quotemeta $ENV{FROM};$t=$ENV{TO}} $n=s/$f/$t/; END{exit !$n}' "$work/$file"; then
+  # The text is matched word by word: where the formatter breaks a line does not matter.
+  if ! FROM="$from" TO="$to" perl -0pi -e '
+    BEGIN { $f = join("\\s*", map { quotemeta } $ENV{FROM} =~ /\w+|[^\w\s]/g); $t = $ENV{TO}; }
+    $n = s/$f/$t/;
+    END { exit !$n }' "$work/$file"; then
     echo "STALE   $name: its text is not in $file"
     bad=1
     continue
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -29,7 +29,9 @@
               wish.clear();
               news.wake();
             }}),
-      h(hh), set(c), home(hh) {
+      h(hh),
+      set(c),
+      home(hh) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
       std::rethrow_exception(e);
@@ -61,13 +63,15 @@
 
 auto queen::queens() const -> std::set<std::string> {
   auto out = std::set<std::string>(set.seeds.begin(), set.seeds.end());
-  for (const auto& v : book.voters()) out.insert(v.addr);
+  for (const auto& v : book.voters())
+    out.insert(v.addr);
   out.erase(set.addr);
   return out;
 }
 auto queen::stands() const -> std::vector<std::string> {
   auto out = std::vector<std::string>();
-  for (const auto& v : book.voters()) out.push_back(v.addr);
+  for (const auto& v : book.voters())
+    out.push_back(v.addr);
   return out;
 }
 auto queen::meet() -> void {
@@ -84,9 +88,7 @@
 }
 
 // May this queen, as leader, still speak for the majority? (design 5.3)
-auto queen::sure() const -> bool {
-  return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32;
-}
+auto queen::sure() const -> bool { return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32; }
 
 auto queen::lends(const std::string& name) const -> bool {
   if (book.leads()) return sure();
@@ -174,7 +176,8 @@
     auto o = known.lacks(vec, settle);
     if (auto row = stands(); !row.empty() && mark_of(row) != had) {
       auto names = twigs();
-      for (const auto& a : row) names.emplace_back(a);
+      for (const auto& a : row)
+        names.emplace_back(a);
       o["queens"] = names;
     }
     return o;
@@ -188,7 +191,8 @@
   }
   // Comings and goings are told of together; cells at once, but not each alone where many change; a charter at once.
   auto since = h.now();
-  if (auto it = guests.find(row.name); it != guests.end() && !out.empty() && !out.contains("charter") && !out.contains("packed")) {
+  if (auto it = guests.find(row.name);
+      it != guests.end() && !out.empty() && !out.contains("charter") && !out.contains("packed")) {
     auto due = out.contains("cells") ? it->second.told + set.beat / 2 : since + set.beat / 2;
     if (due > since) co_await nap(h, due);
   }
@@ -242,11 +246,13 @@
       q["live_ver"] = said_ver;
       if (round++ % usage_each == 0) {
         auto use = branch();
-        for (const auto& n : names) use[n] = guests[n].row.usage;
+        for (const auto& n : names)
+          use[n] = guests[n].row.usage;
         q["usage"] = use;
       }
       if (auto some = mine.lacks(told, {}, steps, true); !some.is_null())
-        for (auto& kv : some.as_object()) q[kv.key()] = kv.value();
+        for (auto& kv : some.as_object())
+          q[kv.key()] = kv.value();
       auto ver = mine.ver;
       auto r = co_await book.reach(addr).ask(tree(std::move(q)), sent + set.budget);
       fine = true;
@@ -256,7 +262,8 @@
       if (yes(r, "grant")) {
         granted = true;
         wish.clear();
-        for (const auto& m : list(r, "wish")) wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
+        for (const auto& m : list(r, "wish"))
+          wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
         grant_need = std::max(grant_need, num(r, "need"));
         grant_cells = std::max(grant_cells, num(r, "cells"));
         for (const auto& n : names)
@@ -278,7 +285,8 @@
       if (!in_time) break;
     }
     // What changes together is told together.
-    if (auto soon = sent + set.beat / 2; h.now() < soon && book.leader() == under && (granted || addr != under)) co_await nap(h, soon);
+    if (auto soon = sent + set.beat / 2; h.now() < soon && book.leader() == under && (granted || addr != under))
+      co_await nap(h, soon);
   }
   swapping.erase(addr);
 }
@@ -294,14 +302,16 @@
   auto live_ver = num_or(t, "live_ver", 0);
   if (const auto& live = sub(t, "live"); live.is_object() && (live_ver > there.ver || live_ver == 0)) {
     there = {live_ver, {}};
-    for (const auto& kv : live.get_object()) there.charters[std::string(kv.key())] = num_or(kv.value(), "charter", 0);
+    for (const auto& kv : live.get_object())
+      there.charters[std::string(kv.key())] = num_or(kv.value(), "charter", 0);
   }
   out["live_ver"] = there.ver;
   if (there.ver != live_ver) return out;
   if (const auto& use = sub(t, "usage"); use.is_object()) {
     auto& rows = known.tables[from].rows;
     for (const auto& kv : use.get_object())
-      if (auto it = rows.find(std::string(kv.key())); it != rows.end() && kv.value().is_int64()) it->second.usage = kv.value().get_int64();
+      if (auto it = rows.find(std::string(kv.key())); it != rows.end() && kv.value().is_int64())
+        it->second.usage = kv.value().get_int64();
   }
   if (sure()) {
     for (const auto& [n, charter] : there.charters) {
@@ -310,7 +320,8 @@
       g.charter = charter;
     }
     auto ws = twigs();
-    for (const auto& m : wish) ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
+    for (const auto& m : wish)
+      ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
     out["wish"] = ws;
     out["grant"] = true;
     out["need"] = law.law ? law.law->number : 0;
@@ -328,11 +339,13 @@
     auto now = h.now();
     auto& mine = known.tables[source];
     auto lost = false;
-    // Time in which this queen was held up counts against nobody: what came meanwhile is not read yet. Else a queen that
-    // is busy ends sessions that stand, and telling of it makes all queens busier.
+    // Time in which this queen was held up counts against nobody: what came meanwhile is not read yet. Else a queen
+    // that is busy ends sessions that stand, and telling of it makes all queens busier.
     if (auto late = now - due; late > set.beat / 2) {
-      for (auto& [n, g] : guests) g.seen = std::min(now, g.seen + late);
-      for (auto& [q, at] : mates_seen) at = std::min(now, at + late);
+      for (auto& [n, g] : guests)
+        g.seen = std::min(now, g.seen + late);
+      for (auto& [q, at] : mates_seen)
+        at = std::min(now, at + late);
     }
     for (auto it = guests.begin(); it != guests.end();) {
       if (now - it->second.seen > set.lose) {
@@ -354,7 +367,8 @@
       }
     }
     if (lost) news.wake();
-    for (auto it = grants.begin(); it != grants.end();) it = it->second.until < now ? grants.erase(it) : std::next(it);
+    for (auto it = grants.begin(); it != grants.end();)
+      it = it->second.until < now ? grants.erase(it) : std::next(it);
   }
 }
 
@@ -367,7 +381,8 @@
 auto queen::combs_at_need() const -> std::map<std::string, seat> {
   auto out = live_combs();
   auto zones = std::set<std::string>();
-  for (const auto& [n, s] : out) zones.insert(s.zone);
+  for (const auto& [n, s] : out)
+    zones.insert(s.zone);
   if (zones.size() >= 2) return out;
   for (const auto& [n, s] : known.all())
     if (s.kind == "comb" && !s.disk.empty() && !s.leaving && !law.leavings.count(n)) out[n] = s;
@@ -385,7 +400,8 @@
 }
 auto queen::zones() const -> std::set<std::string> {
   auto out = std::set<std::string>();
-  for (const auto& [n, s] : known.all()) out.insert(s.zone);
+  for (const auto& [n, s] : known.all())
+    out.insert(s.zone);
   return out;
 }
 auto queen::loads() const -> std::map<std::string, std::int64_t> {
@@ -401,7 +417,8 @@
 auto queen::on_draw(const tree& t) -> tree {
   auto zone = str(t, "zone");
   auto bar = std::set<std::string>();
-  for (const auto& n : list(t, "not")) bar.insert(std::string(n.as_string()));
+  for (const auto& n : list(t, "not"))
+    bar.insert(std::string(n.as_string()));
   auto not_name = list(t, "not").empty() ? std::string() : std::string(list(t, "not")[0].as_string());
   auto use = loads();
   auto best = std::string();
@@ -448,9 +465,12 @@
         for (auto k = std::int64_t{0}; k < s.cells; ++k) {
           auto id = name + "/" + std::to_string(k);
           if (auto it = law.cells.find(id); it != law.cells.end() && it->second.epoch > 0) continue;
-          auto less = [&](const seat& a, const seat& b) { return std::pair(use[a.name], a.name) < std::pair(use[b.name], b.name); };
+          auto less = [&](const seat& a, const seat& b) {
+            return std::pair(use[a.name], a.name) < std::pair(use[b.name], b.name);
+          };
           auto order = std::vector<seat>();
-          for (const auto& [n, c] : combs) order.push_back(c);
+          for (const auto& [n, c] : combs)
+            order.push_back(c);
           std::sort(order.begin(), order.end(), less);
           if (order.empty()) break;
           auto prim = order.front();
@@ -458,8 +478,13 @@
           if (back == order.end()) break;
           use[prim.name] += 2;
           use[back->name] += 1;
-          auto d = tree(branch{{"k", "cell"}, {"id", id}, {"epoch", 0}, {"prim", prim.member()}, {"back", back->member()},
-                               {"step", twigs{prim.member(), back->member()}}, {"why", "placed"}});
+          auto d = tree(branch{{"k", "cell"},
+                               {"id", id},
+                               {"epoch", 0},
+                               {"prim", prim.member()},
+                               {"back", back->member()},
+                               {"step", twigs{prim.member(), back->member()}},
+                               {"why", "placed"}});
           co_await book.propose(std::move(d), h.now() + set.lose);
           if (!sure()) break;
         }
@@ -469,7 +494,8 @@
         auto s = law.law->pools.find(id.substr(0, id.find('/')));
         if (s != law.law->pools.end() && s->second.keep_ms == 0 && all_lost(c)) dead.push_back(id);
       }
-      for (const auto& id : dead) co_await refound(id, false);
+      for (const auto& id : dead)
+        co_await refound(id, false);
       auto open = std::vector<std::string>();
       for (const auto& [n, l] : law.leavings)
         if (!l.done && zone_of_key(n).empty() && law.held_by(n).empty()) open.push_back(n);
@@ -496,15 +522,22 @@
   auto combs = combs_at_need();
   auto use = loads();
   auto order = std::vector<seat>();
-  for (const auto& [n, c] : combs) order.push_back(c);
+  for (const auto& [n, c] : combs)
+    order.push_back(c);
   std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
   if (order.empty()) throw verdict("no_room", "no comb is there", ran::no, set.lose / msec);
   auto prim = order.front();
   auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
   if (back == order.end()) throw verdict("no_room", "no comb in a second locality", ran::no, set.lose / msec);
   hive::log(grade::warn, set.name, id + ": all copies are lost; founded again");
-  auto d = tree(branch{{"k", "refound"}, {"id", id}, {"epoch", law.cells[id].epoch}, {"prim", prim.member()}, {"back", back->member()},
-                       {"step", twigs{prim.member(), back->member()}}, {"why", "founded again"}, {"forsake", forsake}});
+  auto d = tree(branch{{"k", "refound"},
+                       {"id", id},
+                       {"epoch", law.cells[id].epoch},
+                       {"prim", prim.member()},
+                       {"back", back->member()},
+                       {"step", twigs{prim.member(), back->member()}},
+                       {"why", "founded again"},
+                       {"forsake", forsake}});
   co_return co_await deed(std::move(d));
 }
 
@@ -530,7 +563,8 @@
   }
   if (combs.size() < 2 || h.now() - wished < set.lose) return;
   auto order = std::vector<seat>();
-  for (const auto& [n, s] : combs) order.push_back(s);
+  for (const auto& [n, s] : combs)
+    order.push_back(s);
   std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
   // Each move, or the pair of moves that 'later' begins, lowers the sum of squares:
   // they end. The cheaper kinds are tried for all pairs of combs first.
@@ -550,7 +584,8 @@
     if (!hand && !copy) continue;
     wish = {{id, p, hand ? "" : lo.name, hand}};
     wished = h.now();
-    hive::log(grade::note, set.name, id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
+    hive::log(grade::note, set.name,
+              id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
     return true;
   }
   return false;
@@ -564,7 +599,8 @@
     if (s.kind == "comb" && !s.disk.empty() && !law.leavings.count(n)) zones.insert(s.zone);
   for (const auto& [n, s] : next.spaces) {
     if (s.keep_ms == 0 || zones.size() >= 2) continue;
-    return "space '" + n + "' is kept: that wants combs with disks in two localities, and " + std::to_string(zones.size()) + " has or have one now";
+    return "space '" + n + "' is kept: that wants combs with disks in two localities, and " +
+           std::to_string(zones.size()) + " has or have one now";
   }
   return {};
 }
@@ -619,14 +655,17 @@
       auto zone = zone_of_key(n);
       auto ids = std::set<std::string>();
       if (zone.empty()) {
-        for (const auto& id : now.held_by(n)) ids.insert(id);
+        for (const auto& id : now.held_by(n))
+          ids.insert(id);
       } else {
         for (const auto& [m, s] : known.all())
           if (s.kind == "comb" && s.zone == zone)
-            for (const auto& id : now.held_by(m)) ids.insert(id);
+            for (const auto& id : now.held_by(m))
+              ids.insert(id);
       }
       auto left = twigs();
-      for (const auto& id : ids) left.emplace_back(id);
+      for (const auto& id : ids)
+        left.emplace_back(id);
       rows[n] = branch{{"kind", l.kind}, {"done", zone.empty() ? l.done : ids.empty()}, {"left", left}};
     }
     co_return response{200, rows, {}};
@@ -635,16 +674,20 @@
   auto t = boost::json::parse(r.body, ec);
   if (ec || !t.is_object()) throw verdict("malformed", "the body is no JSON object");
   for (const auto& kv : t.get_object())
-    if (kv.key() != "name" && kv.key() != "zone" && kv.key() != "kind" && kv.key() != "copies") throw verdict("malformed", "unknown field " + std::string(kv.key()));
+    if (kv.key() != "name" && kv.key() != "zone" && kv.key() != "kind" && kv.key() != "copies")
+      throw verdict("malformed", "unknown field " + std::string(kv.key()));
   auto whole_zone = sub(t, "zone").is_string();
   if (whole_zone == sub(t, "name").is_string()) throw verdict("malformed", "either name or zone is wanted");
   auto name = whole_zone ? zone_key(str(t, "zone")) : str(t, "name");
   if (!whole_zone && !zone_of_key(name).empty()) throw verdict("malformed", "'" + name + "' is no name of a node");
   auto kind = str_or(t, "kind", whole_zone ? "evacuate" : "drain");
-  if (kind != "drain" && kind != "evacuate" && kind != "retire") throw verdict("malformed", "kind is drain, evacuate or retire");
+  if (kind != "drain" && kind != "evacuate" && kind != "retire")
+    throw verdict("malformed", "kind is drain, evacuate or retire");
   auto copies = std::int64_t{2};
-  if (const auto& v = sub(t, "copies"); v.is_int64() && v.get_int64() > 0) copies = v.get_int64();
-  else if (!v.is_null()) throw verdict("malformed", "copies wants a number above 0");
+  if (const auto& v = sub(t, "copies"); v.is_int64() && v.get_int64() > 0)
+    copies = v.get_int64();
+  else if (!v.is_null())
+    throw verdict("malformed", "copies wants a number above 0");
   if (r.path == "/v1/stay") {
     auto d = tree(branch{{"k", "stay"}, {"name", name}});
     auto out = co_await deed(std::move(d));
@@ -659,7 +702,8 @@
     co_return response{200, out, {}};
   }
   auto known_here = false;
-  for (const auto& [id, c] : law.cells) known_here |= name_of(c.prim) == name || name_of(c.back) == name;
+  for (const auto& [id, c] : law.cells)
+    known_here |= name_of(c.prim) == name || name_of(c.back) == name;
   if (const auto* s = known.find(name); s && s->kind == "comb") known_here = true;
   if (!known_here && !law.leavings.count(name)) throw verdict("not_found", "no comb " + name + " is known");
   auto d = branch{{"k", "leave"}, {"name", name}, {"kind", kind}};
@@ -671,7 +715,9 @@
         const auto* s = known.find(name_of(m));
         return name_of(m) != name && s && s->member() == m;
       });
-      if (has && !other) throw verdict("last_copy", name + " holds the last copy in step of " + id + " that is in reach", ran::no, set.lose / msec);
+      if (has && !other)
+        throw verdict("last_copy", name + " holds the last copy in step of " + id + " that is in reach", ran::no,
+                      set.lose / msec);
     }
     auto rest = rest_without(name);
     if (auto why = law.too_few(rest, copies); !why.empty()) throw verdict("too_few", why);
@@ -702,7 +748,10 @@
   if (r.path == "/v1/voters") {
     auto q = tree(branch{{"op", "voters"}});
     auto out = co_await ask(nullptr, std::move(q));
-    co_return response{200, branch{{"leader", sub(out, "leader")}, {"changing", sub(out, "changing")}, {"voters", sub(out, "voters")}}, {}};
+    co_return response{
+        200,
+        branch{{"leader", sub(out, "leader")}, {"changing", sub(out, "changing")}, {"voters", sub(out, "voters")}},
+        {}};
   }
   if (r.path == "/v1/cells") {
     auto q = tree(branch{{"op", "fresh"}});
@@ -726,8 +775,8 @@
 auto queen::leave(tick limit) -> task<void> { co_await book.yield(limit); }
 
 auto queen::status() const -> tree {
-  return branch{{"kind", "queen"}, {"name", set.name}, {"zone", set.zone}, {"ledger", book.stand()},
-                {"sessions", guests.size()}, {"beliefs", known.beliefs()}};
+  return branch{{"kind", "queen"},        {"name", set.name},          {"zone", set.zone},
+                {"ledger", book.stand()}, {"sessions", guests.size()}, {"beliefs", known.beliefs()}};
 }
 
 }  // namespace hive
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -46,7 +46,7 @@
   auto deed(tree d) -> task<tree>;
   auto swaps(std::string addr) -> task<void>;
   auto meet() -> void;  // swaps with each queen that the seeds or the ledger name
-  [[nodiscard]] auto queens() const -> std::set<std::string>;  // the other queens' addresses
+  [[nodiscard]] auto queens() const -> std::set<std::string>;     // the other queens' addresses
   [[nodiscard]] auto stands() const -> std::vector<std::string>;  // where sessions can stand now
   auto sweep() -> task<void>;
   auto place() -> task<void>;
@@ -76,7 +76,7 @@
   std::map<std::string, grant> grants;
   std::map<std::string, tick> mates_seen;
   std::set<std::string> swapping;  // the queens that a task swaps with
-  struct crowd {  // who stands at another queen, and what each serves
+  struct crowd {                   // who stands at another queen, and what each serves
     std::int64_t ver = 0;
     std::map<std::string, std::int64_t> charters;
   };
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -11,16 +11,22 @@
 
 constexpr auto zone_mark = std::string_view("zone:");
 auto zone_key(const std::string& zone) -> std::string { return std::string(zone_mark) + zone; }
-auto zone_of_key(const std::string& key) -> std::string { return key.compare(0, zone_mark.size(), zone_mark) == 0 ? key.substr(zone_mark.size()) : ""; }
+auto zone_of_key(const std::string& key) -> std::string {
+  return key.compare(0, zone_mark.size(), zone_mark) == 0 ? key.substr(zone_mark.size()) : "";
+}
 
 auto cell_row::to_tree() const -> tree {
   auto s = twigs();
-  for (const auto& m : step) s.emplace_back(m);
-  return branch{{"epoch", epoch}, {"root", root}, {"prim", prim}, {"back", back}, {"step", s}, {"idx", idx}, {"why", why}};
+  for (const auto& m : step)
+    s.emplace_back(m);
+  return branch{{"epoch", epoch}, {"root", root}, {"prim", prim}, {"back", back},
+                {"step", s},      {"idx", idx},   {"why", why}};
 }
 auto cell_row::from_tree(const tree& t) -> cell_row {
-  auto r = cell_row{num(t, "epoch"), num_or(t, "root", 0), str(t, "prim"), str(t, "back"), {}, num_or(t, "idx", 0), str_or(t, "why")};
-  for (const auto& m : list(t, "step")) r.step.emplace_back(m.as_string());
+  auto r = cell_row{num(t, "epoch"),     num_or(t, "root", 0), str(t, "prim"), str(t, "back"), {},
+                    num_or(t, "idx", 0), str_or(t, "why")};
+  for (const auto& m : list(t, "step"))
+    r.step.emplace_back(m.as_string());
   return r;
 }
 auto cell_row::in_step(const std::string& m) const -> bool {
@@ -46,8 +52,10 @@
     if (leavings.count(name)) continue;
     ++count;
     auto zone = std::string(kv.value().as_string());
-    if (zone.empty()) ++hidden;
-    else zones.insert(zone);
+    if (zone.empty())
+      ++hidden;
+    else
+      zones.insert(zone);
   }
   if (count < copies) return std::to_string(count) + " combs would be left, " + std::to_string(copies) + " are needed";
   if (static_cast<std::int64_t>(zones.size()) + hidden < 2) return "the combs that would be left stand in one locality";
@@ -74,18 +82,31 @@
   auto next = compile(str(d, "body"));
   auto now = law ? law->number : 0;
   if (law && next->number == now) {
-    if (boost::json::parse(next->body) == boost::json::parse(law->body)) return branch{{"ok", true}, {"number", now}, {"repeat", true}};
-    throw verdict("taken", "number " + std::to_string(now) + " is already used with other content", ran::no, -1, branch{{"newest", now}});
+    if (boost::json::parse(next->body) == boost::json::parse(law->body))
+      return branch{{"ok", true}, {"number", now}, {"repeat", true}};
+    throw verdict("taken", "number " + std::to_string(now) + " is already used with other content", ran::no, -1,
+                  branch{{"newest", now}});
   }
-  if (next->number < now) throw verdict("stale", "number " + std::to_string(next->number) + " is below the newest, " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
-  if (next->after >= 0 && next->after != now) throw verdict("stale", "it is meant to follow " + std::to_string(next->after) + ", the newest is " + std::to_string(now), ran::no, -1, branch{{"newest", now}});
+  if (next->number < now)
+    throw verdict("stale", "number " + std::to_string(next->number) + " is below the newest, " + std::to_string(now),
+                  ran::no, -1, branch{{"newest", now}});
+  if (next->after >= 0 && next->after != now)
+    throw verdict("stale",
+                  "it is meant to follow " + std::to_string(next->after) + ", the newest is " + std::to_string(now),
+                  ran::no, -1, branch{{"newest", now}});
   for (const auto& [name, p] : next->pools) {
     auto had = cells.count(name + "/0") > 0;
     auto width = std::int64_t{0};
-    while (cells.count(name + "/" + std::to_string(width))) ++width;
-    if (had && width != p.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(width) + " cells, which cannot change", ran::no, -1);
+    while (cells.count(name + "/" + std::to_string(width)))
+      ++width;
+    if (had && width != p.cells)
+      throw verdict("bad_charter",
+                    "spaces: '" + name + "' has " + std::to_string(width) + " cells, which cannot change", ran::no, -1);
     if (had || !law) continue;
-    if (auto it = law->pools.find(name); it != law->pools.end() && it->second.cells != p.cells) throw verdict("bad_charter", "spaces: '" + name + "' has " + std::to_string(it->second.cells) + " cells, which cannot change", ran::no, -1);
+    if (auto it = law->pools.find(name); it != law->pools.end() && it->second.cells != p.cells)
+      throw verdict("bad_charter",
+                    "spaces: '" + name + "' has " + std::to_string(it->second.cells) + " cells, which cannot change",
+                    ran::no, -1);
   }
   law = next;
   law_idx = idx;
@@ -105,7 +126,8 @@
   // Told done, a retired node gets nothing again, also by a move that was under way.
   for (const auto& [n, l] : leavings) {
     auto is_n = [&, n = n](const std::string& m) { return name_of(m) == n; };
-    if (l.kind == "retire" && l.done && (is_n(next.back) || std::any_of(next.step.begin(), next.step.end(), is_n))) return no("a retired node holds nothing");
+    if (l.kind == "retire" && l.done && (is_n(next.back) || std::any_of(next.step.begin(), next.step.end(), is_n)))
+      return no("a retired node holds nothing");
   }
   next.epoch = now.epoch + 1;
   next.root = now.root;
@@ -122,10 +144,12 @@
   auto it = cells.find(id);
   if (it == cells.end()) throw verdict("not_found", "no cell " + id);
   auto next = cell_row::from_tree(d);
-  if (it->second.epoch != next.epoch) return branch{{"ok", false}, {"why", "another epoch stands"}, {"row", it->second.to_tree()}};
+  if (it->second.epoch != next.epoch)
+    return branch{{"ok", false}, {"why", "another epoch stands"}, {"row", it->second.to_tree()}};
   auto p = law ? law->pools.find(id.substr(0, id.find('/'))) : std::map<std::string, pool>::const_iterator();
   auto kept = !law || p == law->pools.end() || p->second.keep_ms > 0;
-  if (kept && !yes(d, "forsake")) throw verdict("denied", id + " is of a kept space: founding it again forsakes what it kept");
+  if (kept && !yes(d, "forsake"))
+    throw verdict("denied", id + " is of a kept space: founding it again forsakes what it kept");
   next.epoch = next.root = it->second.epoch + 1;
   next.idx = idx;
   it->second = next;
@@ -139,7 +163,8 @@
   if (k == "leave") {
     auto kind = str(d, "kind");
     if (!zone_of_key(name).empty() && kind != "evacuate") throw verdict("malformed", "a zone can only be evacuated");
-    if (auto it = leavings.find(name); it != leavings.end() && (it->second.kind == kind || it->second.kind == "retire")) {
+    if (auto it = leavings.find(name);
+        it != leavings.end() && (it->second.kind == kind || it->second.kind == "retire")) {
       if (it->second.kind != kind) throw verdict("taken", name + " is being retired already");
       return branch{{"ok", true}, {"repeat", true}, {"done", it->second.done}};
     }
@@ -164,10 +189,14 @@
 
 auto realm::capture() const -> tree {
   auto c = branch();
-  for (const auto& [id, r] : cells) c[id] = r.to_tree();
+  for (const auto& [id, r] : cells)
+    c[id] = r.to_tree();
   auto l = branch();
-  for (const auto& [n, v] : leavings) l[n] = branch{{"kind", v.kind}, {"done", v.done}, {"idx", v.idx}};
-  return branch{{"format", 1}, {"charter", law ? tree(law->body) : tree()}, {"law_idx", law_idx}, {"cells", c}, {"leavings", l}, {"cells_ver", cells_ver}};
+  for (const auto& [n, v] : leavings)
+    l[n] = branch{{"kind", v.kind}, {"done", v.done}, {"idx", v.idx}};
+  return branch{{"format", 1},        {"charter", law ? tree(law->body) : tree()},
+                {"law_idx", law_idx}, {"cells", c},
+                {"leavings", l},      {"cells_ver", cells_ver}};
 }
 
 auto realm::restore(const tree& t) -> void {
@@ -176,7 +205,8 @@
   if (num(t, "format") != 1) throw verdict("damaged", "the ledger's capture has an unknown format");
   if (sub(t, "charter").is_string()) law = compile(str(t, "charter"));
   law_idx = num(t, "law_idx");
-  for (const auto& kv : sub(t, "cells").as_object()) cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
+  for (const auto& kv : sub(t, "cells").as_object())
+    cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
   for (const auto& kv : sub(t, "leavings").as_object())
     leavings[std::string(kv.key())] = {str(kv.value(), "kind"), yes(kv.value(), "done"), num(kv.value(), "idx")};
   cells_ver = num(t, "cells_ver");
--- a/queen/realm_test.cpp
+++ b/queen/realm_test.cpp
@@ -68,7 +68,8 @@
   CHECK(hive::yes(r.apply(1, leave), "ok"));
   CHECK(hive::yes(r.apply(2, leave), "repeat"));
   STRCMP_EQUAL("not_found", hive::str(r.apply(3, hive::branch{{"k", "left"}, {"name", key}}), "code").c_str());
-  STRCMP_EQUAL("malformed", hive::str(r.apply(4, hive::branch{{"k", "leave"}, {"name", key}, {"kind", "retire"}}), "code").c_str());
+  STRCMP_EQUAL("malformed",
+               hive::str(r.apply(4, hive::branch{{"k", "leave"}, {"name", key}, {"kind", "retire"}}), "code").c_str());
   auto again = hive::realm();
   again.restore(r.capture());
   LONGS_EQUAL(1, again.leavings.count(key));
--- a/scout/scout.cpp
+++ b/scout/scout.cpp
@@ -67,8 +67,9 @@
 auto scout::leave(tick limit) -> task<void> { co_await ses.leave(limit); }
 
 auto scout::status() const -> tree {
-  return branch{{"kind", "scout"}, {"name", set.name}, {"zone", set.zone}, {"leased", ses.leased()}, {"need", ses.need()},
-                {"charter", ses.known.law ? ses.known.law->number : 0}, {"confirmed", confirmed}, {"queen", ses.door()}, {"vec", ses.known.vec()}};
+  return branch{{"kind", "scout"},        {"name", set.name},    {"zone", set.zone},
+                {"leased", ses.leased()}, {"need", ses.need()},  {"charter", ses.known.law ? ses.known.law->number : 0},
+                {"confirmed", confirmed}, {"queen", ses.door()}, {"vec", ses.known.vec()}};
 }
 
 }  // namespace hive
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -9,7 +9,8 @@
 
 auto mark_of(const std::vector<std::string>& row) -> std::int64_t {
   auto crc = boost::crc_32_type();
-  for (const auto& a : row) crc.process_bytes(a.c_str(), a.size() + 1);
+  for (const auto& a : row)
+    crc.process_bytes(a.c_str(), a.size() + 1);
   return static_cast<std::int64_t>(crc.checksum());
 }
 
@@ -61,7 +62,8 @@
   while (!gone) {
     if (h.now() >= move_at) {
       move_at = never;
-      if (auto to = std::find(doors.begin(), doors.end(), move_to); to != doors.end() && static_cast<std::size_t>(to - doors.begin()) != at) {
+      if (auto to = std::find(doors.begin(), doors.end(), move_to);
+          to != doors.end() && static_cast<std::size_t>(to - doors.begin()) != at) {
         leave_door();
         at = static_cast<std::size_t>(to - doors.begin());
         good = sent_up = h.now();
@@ -75,8 +77,13 @@
     auto sent = h.now();
     auto failed = false;
     try {
-      auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", known.vec()}, {"queens", queens.empty() ? 0 : mark_of(queens)},
-                           {"charter", serving ? serving() : known.law ? known.law->number : 0}});
+      auto q = tree(branch{{"op", "session"},
+                           {"me", me.to_tree()},
+                           {"vec", known.vec()},
+                           {"queens", queens.empty() ? 0 : mark_of(queens)},
+                           {"charter", serving     ? serving()
+                                       : known.law ? known.law->number
+                                                   : 0}});
       auto r = co_await line->ask(std::move(q), sent + set.lose);
       if (gone) break;
       auto left = num_or(r, "lease", 0);
@@ -106,12 +113,15 @@
     if (line->up()) sent_up = h.now();
     if ((fell || h.now() - good > set.lose * 3 / 4) && doors.size() > 1) {
       leave_door();
-      at = (at + 1 + h.below(doors.size() - 1)) % doors.size();  // each to another: what one queen had does not fall on the next
+      at = (at + 1 + h.below(doors.size() - 1)) %
+           doors.size();  // each to another: what one queen had does not fall on the next
       good = sent_up = h.now();
     }
     if (!line) continue;
-    if (failed) co_await turned.wait(h, h.now() + set.beat);
-    else co_await rest(h, h.now() - sent < set.beat / 2 ? set.beat / 4 : 0);
+    if (failed)
+      co_await turned.wait(h, h.now() + set.beat);
+    else
+      co_await rest(h, h.now() - sent < set.beat / 2 ? set.beat / 4 : 0);
   }
 }
 
--- a/scout/session.hpp
+++ b/scout/session.hpp
@@ -45,14 +45,14 @@
   host& h;
   config set;
   std::vector<std::string> seeds, queens, doors;  // doors: the queens last told of, then the seeds
-  std::set<std::string> met;  // all that were ever among the doors
+  std::set<std::string> met;                      // all that were ever among the doors
   std::size_t at = 0;
   tick until = 0, move_at = never;  // move_at: when the session goes over to `move_to`
   std::string move_to;
   std::int64_t least = 0, cells_need = 0;
   bool ever = false;
   twigs wish;
-  signal turned;  // the line came up, fell, or its queen is gone
+  signal turned;                    // the line came up, fell, or its queen is gone
   std::shared_ptr<colleague> line;  // shared: a request may outlive the choice of another door
   nest home;
 };
--- a/scout/view.cpp
+++ b/scout/view.cpp
@@ -12,11 +12,11 @@
 }  // namespace
 
 auto seat::to_tree() const -> tree {
-  return branch{{"name", name}, {"kind", kind}, {"zone", zone}, {"addr", addr}, {"web", web},
+  return branch{{"name", name}, {"kind", kind},   {"zone", zone},       {"addr", addr},  {"web", web},
                 {"disk", disk}, {"ready", ready}, {"leaving", leaving}, {"usage", usage}};
 }
 auto seat::from_tree(const tree& t) -> seat {
-  return {str(t, "name"), str(t, "kind"), str(t, "zone"), str_or(t, "addr"), str_or(t, "web"),
+  return {str(t, "name"),    str(t, "kind"),  str(t, "zone"),    str_or(t, "addr"),    str_or(t, "web"),
           str_or(t, "disk"), yes(t, "ready"), yes(t, "leaving"), num_or(t, "usage", 0)};
 }
 
@@ -70,7 +70,8 @@
   auto went = branch();
   if (step)
     for (const auto& [n, g] : gone)
-      if (g.ver > held && need.covers(g.kind, g.zone)) went[n] = branch{{"v", g.ver}, {"kind", g.kind}, {"zone", g.zone}};
+      if (g.ver > held && need.covers(g.kind, g.zone))
+        went[n] = branch{{"v", g.ver}, {"kind", g.kind}, {"zone", g.zone}};
   if (step && list.empty() && went.empty() && !settle) return nullptr;
   out["rows"] = std::move(list);
   if (step) out["since"] = held;
@@ -115,30 +116,36 @@
 
 auto view::vec() const -> tree {
   auto t = branch();
-  for (const auto& [q, tab] : tables) t[q] = tab.narrow && need.wide ? 0 : tab.ver;
+  for (const auto& [q, tab] : tables)
+    t[q] = tab.narrow && need.wide ? 0 : tab.ver;
   return branch{{"charter", law ? law->number : 0}, {"cells", cells_ver}, {"tables", t}, {"need", need.to_tree()}};
 }
 
 auto view::lacks(const tree& vec, bool settle) const -> branch {
   auto out = branch();
-  const auto& said = sub(vec, "need");  // who says none is of an earlier landing, and knows no steps and no packed charters
+  const auto& said =
+      sub(vec, "need");  // who says none is of an earlier landing, and knows no steps and no packed charters
   if (law && law->number > num_or(vec, "charter", 0)) {
-    if (said.is_object()) out["packed"] = law->packed();
-    else out["charter"] = law->body;
+    if (said.is_object())
+      out["packed"] = law->packed();
+    else
+      out["charter"] = law->body;
   }
   if (auto had = num_or(vec, "cells", 0); cells_ver > had) {
     auto rows = branch();
     for (const auto& [id, r] : cells)
       if (r.idx > had) rows[id] = r.to_tree();
     auto gone = branch();
-    for (const auto& [n, l] : leavings) gone[n] = branch{{"kind", l.kind}, {"done", l.done}, {"idx", l.idx}};
+    for (const auto& [n, l] : leavings)
+      gone[n] = branch{{"kind", l.kind}, {"done", l.done}, {"idx", l.idx}};
     out["cells"] = branch{{"ver", cells_ver}, {"rows", rows}, {"leavings", gone}};
   }
   const auto& held = sub(vec, "tables");
   auto needs = interest::from_tree(said);
   auto tabs = branch();
   for (const auto& [q, t] : tables)
-    if (auto some = t.lacks(num_or(held, q, 0), needs, said.is_object(), settle); !some.is_null()) tabs[q] = std::move(some);
+    if (auto some = t.lacks(num_or(held, q, 0), needs, said.is_object(), settle); !some.is_null())
+      tabs[q] = std::move(some);
   if (held.is_object())
     for (const auto& kv : held.get_object())
       if (!tables.count(std::string(kv.key()))) tabs[kv.key()] = nullptr;  // that queen is gone
@@ -151,7 +158,8 @@
   const auto& whole = sub(t, "charter");
   const auto& packed = sub(t, "packed");
   if (whole.is_string() || packed.is_string()) {
-    auto next = packed.is_string() ? compile_packed(std::string(packed.get_string())) : compile(std::string(whole.get_string()));
+    auto next = packed.is_string() ? compile_packed(std::string(packed.get_string()))
+                                   : compile(std::string(whole.get_string()));
     if (!law || next->number > law->number) {
       law = next;
       fresh = true;
@@ -172,8 +180,10 @@
   if (const auto& tabs = sub(t, "tables"); tabs.is_object()) {
     for (const auto& kv : tabs.get_object()) {
       auto q = std::string(kv.key());
-      if (kv.value().is_null()) fresh |= tables.erase(q) > 0;
-      else fresh |= tables[q].merge(kv.value());
+      if (kv.value().is_null())
+        fresh |= tables.erase(q) > 0;
+      else
+        fresh |= tables[q].merge(kv.value());
     }
   }
   return fresh;
@@ -199,12 +209,16 @@
 
 auto view::beliefs() const -> tree {
   auto cs = branch();
-  for (const auto& [id, c] : cells) cs[id] = c.to_tree();
+  for (const auto& [id, c] : cells)
+    cs[id] = c.to_tree();
   auto ms = branch();
-  for (const auto& [n, s] : all()) ms[n] = branch{{"kind", s.kind}, {"zone", s.zone}, {"leaving", s.leaving}};
+  for (const auto& [n, s] : all())
+    ms[n] = branch{{"kind", s.kind}, {"zone", s.zone}, {"leaving", s.leaving}};
   auto ls = branch();
-  for (const auto& [n, l] : leavings) ls[n] = branch{{"kind", l.kind}, {"done", l.done}};
-  return branch{{"charter", law ? law->number : 0}, {"cells", cs}, {"members", ms}, {"leavings", ls}, {"need", need.to_tree()}};
+  for (const auto& [n, l] : leavings)
+    ls[n] = branch{{"kind", l.kind}, {"done", l.done}};
+  return branch{
+      {"charter", law ? law->number : 0}, {"cells", cs}, {"members", ms}, {"leavings", ls}, {"need", need.to_tree()}};
 }
 auto view::all() const -> std::map<std::string, seat> {
   auto out = std::map<std::string, seat>();
--- a/scout/view.hpp
+++ b/scout/view.hpp
@@ -70,7 +70,9 @@
   [[nodiscard]] auto find(const std::string& name) const -> const seat*;
   [[nodiscard]] auto evacuated(const std::string& zone) const -> bool { return leavings.count(zone_key(zone)) > 0; }
   // It is to hold nothing: it goes down, or was told to leave, by name or with its zone.
-  [[nodiscard]] auto leaves(const seat& s) const -> bool { return s.leaving || leavings.count(s.name) > 0 || evacuated(s.zone); }
+  [[nodiscard]] auto leaves(const seat& s) const -> bool {
+    return s.leaving || leavings.count(s.name) > 0 || evacuated(s.zone);
+  }
   // Combs of a third locality, which may reach `to` where `zone` cannot.
   [[nodiscard]] auto vias(const std::string& zone, const std::string& to) const -> std::vector<std::string>;
   // For guard: what this node believes.
--- a/scout/view_test.cpp
+++ b/scout/view_test.cpp
@@ -54,7 +54,9 @@
 TEST(view_pulls, a_charter_comes_packed_and_without_its_origin) {
   auto a = hive::view(), b = hive::view(), c = hive::view();
   auto spaces = std::string();
-  for (auto i = 0; i < 1000; ++i) spaces += std::string(i ? "," : "") + R"({"name":"s)" + std::to_string(i) + R"(","pool":"p","cells":4,"urgency":3,"keep_s":35,"timeout_ms":1500})";
+  for (auto i = 0; i < 1000; ++i)
+    spaces += std::string(i ? "," : "") + R"({"name":"s)" + std::to_string(i) +
+              R"(","pool":"p","cells":4,"urgency":3,"keep_s":35,"timeout_ms":1500})";
   a.law = hive::compile(R"({"number":4,"origin":")" + std::string(50000, 'o') + R"(","spaces":[)" + spaces + "]}");
   auto t = a.lacks(b.vec());
   CHECK(hive::pack(t).size() < a.law->body.size() / 8);
@@ -79,7 +81,8 @@
   auto a = hive::view(), b = hive::view();
   b.need = {"comb", "z1"};
   auto& t = a.tables["q1"];
-  for (auto i = 0; i < 100; ++i) t.put(row("c" + std::to_string(i), "comb", "z1"), i + 1);
+  for (auto i = 0; i < 100; ++i)
+    t.put(row("c" + std::to_string(i), "comb", "z1"), i + 1);
   LONGS_EQUAL(100, pull(a, b));
   LONGS_EQUAL(-1, pull(a, b));
   t.put(row("c5", "comb", "z2"), 101);
--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -11,8 +11,8 @@
 namespace hive {
 namespace {
 
-constexpr auto again = 200 * msec;   // a packet that did not get through is sent again
-constexpr auto patience = 15 * sec;  // a stream that gets nothing through for so long breaks
+constexpr auto again = 200 * msec;             // a packet that did not get through is sent again
+constexpr auto patience = 15 * sec;            // a stream that gets nothing through for so long breaks
 constexpr auto kernel = std::size_t{1} << 20;  // bytes the far side's kernel takes unread
 
 }  // namespace
@@ -84,7 +84,8 @@
     flying_sends += whole;
     auto& w = own.world;
     auto delay = w.wire + static_cast<tick>(w.dice() % 100);
-    while (w.loss > 0 && std::uniform_real_distribution<>(0, 1)(w.dice) < w.loss) delay += again;
+    while (w.loss > 0 && std::uniform_real_distribution<>(0, 1)(w.dice) < w.loss)
+      delay += again;
     carry(shared_from_this(), bytes, w.clock + delay, w.clock);
   }
   static auto carry(std::shared_ptr<sim_link> me, std::shared_ptr<std::string> bytes, tick at, tick since) -> void {
@@ -154,7 +155,8 @@
  public:
   sim_door(sim_host& h, std::string a) : own(h), addr(std::move(a)) { own.world.doors[addr] = this; }
   ~sim_door() override {
-    if (auto it = own.world.doors.find(addr); it != own.world.doors.end() && it->second == this) own.world.doors.erase(it);
+    if (auto it = own.world.doors.find(addr); it != own.world.doors.end() && it->second == this)
+      own.world.doors.erase(it);
   }
   sim_host& own;
   std::string addr;
@@ -169,8 +171,11 @@
     if (it == own.box.solid.end()) return {};
     return it->second;
   }
-  auto scan(const std::string& head, const std::function<void(const std::string&, const std::string&)>& fn) -> void override {
-    for (auto it = own.box.solid.lower_bound(head); it != own.box.solid.end() && it->first.compare(0, head.size(), head) == 0; ++it) fn(it->first, it->second);
+  auto scan(const std::string& head, const std::function<void(const std::string&, const std::string&)>& fn)
+      -> void override {
+    for (auto it = own.box.solid.lower_bound(head);
+         it != own.box.solid.end() && it->first.compare(0, head.size(), head) == 0; ++it)
+      fn(it->first, it->second);
   }
 
  protected:
@@ -181,12 +186,16 @@
     auto& box = own.box;
     if (box.spikes > 0 && std::uniform_real_distribution<>(0, 1)(own.dice) < box.spikes)
       took += static_cast<tick>(own.dice() % static_cast<std::uint64_t>(box.spike + 1));
-    if (box.holds) co_await hold(own, own.now() + took);
-    else co_await rest(own, took);
+    if (box.holds)
+      co_await hold(own, own.now() + took);
+    else
+      co_await rest(own, took);
     if (own.box.full) throw verdict("disk", "no space left", ran::maybe);
     for (const auto& d : row) {
-      if (d.cut) own.box.solid.erase(d.key);
-      else own.box.solid[d.key] = d.val;
+      if (d.cut)
+        own.box.solid.erase(d.key);
+      else
+        own.box.solid[d.key] = d.val;
     }
   }
 
@@ -207,7 +216,8 @@
   own.touch();
 }
 
-sim_host::sim_host(air& a, machine& m, bool disk, std::uint64_t seed) : world(a), box(m), dice(seed), order(++a.births) {
+sim_host::sim_host(air& a, machine& m, bool disk, std::uint64_t seed)
+    : world(a), box(m), dice(seed), order(++a.births) {
   if (disk) db = std::make_unique<sim_store>(*this);
   touch();
 }
@@ -294,7 +304,8 @@
 }
 auto air::cut(const std::string& from, const std::string& to) -> void { cuts.insert({from, to}); }
 auto air::heal(const std::string& from, const std::string& to) -> void {
-  if (auto it = cuts.find({from, to}); it != cuts.end()) cuts.erase(it);  // another cut of the same path may still stand
+  if (auto it = cuts.find({from, to}); it != cuts.end())
+    cuts.erase(it);  // another cut of the same path may still stand
 }
 
 auto air::enter(sim_host& h) -> void {
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -23,14 +23,14 @@
 struct machine {
   std::string name, zone, ip;
   bool on = true;
-  bool full = false;                          // its disk takes no more
-  std::int64_t step = 0;                      // milliseconds that its time of day is off; the steady clock is not
-  double slow = 1;                            // how much slower than the others
+  bool full = false;      // its disk takes no more
+  std::int64_t step = 0;  // milliseconds that its time of day is off; the steady clock is not
+  double slow = 1;        // how much slower than the others
   tick sync_cost = 3 * msec;
-  double spikes = 0;                          // share of syncs that take up to `spike` more
+  double spikes = 0;  // share of syncs that take up to `spike` more
   tick spike = 0;
-  bool holds = false;                         // a sync holds its process; else it works aside
-  std::map<std::string, std::string> solid;   // what is synced
+  bool holds = false;                        // a sync holds its process; else it works aside
+  std::map<std::string, std::string> solid;  // what is synced
 };
 
 class sim_host;
@@ -82,10 +82,10 @@
   bool frozen = false;
   counters done;
   std::int64_t* const heap = open_account();
-  tick busy = 0;      // its processor works until then
+  tick busy = 0;                 // its processor works until then
   std::coroutine_handle<> held;  // what waits for the disk, if anything does
   tick held_until = 0;
-  tick cost = 15;     // microseconds of one step
+  tick cost = 15;  // microseconds of one step
   air& world;
   machine& box;
   std::mt19937_64 dice;
@@ -96,8 +96,8 @@
  private:
   friend class air;
   std::unique_ptr<store> db;
-  std::uint64_t order;   // of its start: which runs first of those due at once
-  tick key = never;      // under which it stands in the air's agenda
+  std::uint64_t order;  // of its start: which runs first of those due at once
+  tick key = never;     // under which it stands in the air's agenda
 };
 
 class air {
@@ -114,22 +114,22 @@
   auto heal(const std::string& from, const std::string& to) -> void;
   tick clock = 0;
   std::mt19937_64 dice;
-  double loss = 0;          // share of packets sent again
-  tick wire = 300;          // one way, microseconds
+  double loss = 0;  // share of packets sent again
+  tick wire = 300;  // one way, microseconds
   std::uint64_t steps = 0, packets = 0;
   // What standing and working cost: sends and their bytes, syncs of disks, times a process woke.
   std::uint64_t sends = 0, bytes = 0, syncs = 0, wakes = 0;
   std::map<std::string, std::unique_ptr<machine>> machines;
-  std::map<std::string, sim_door*> doors;   // by address
+  std::map<std::string, sim_door*> doors;  // by address
   bool stop = false;
-  bool metered = false;                     // measures the processor time of each step
+  bool metered = false;  // measures the processor time of each step
 
  private:
   friend class sim_host;
   auto enter(sim_host& h) -> void;  // into the agenda, at the time it is due now
   auto leave(sim_host& h) -> void;
   std::set<std::tuple<tick, std::uint64_t, sim_host*>> agenda;  // by when they are due, then by start
-  std::vector<sim_host*> stirred;           // those whose due time may have changed
+  std::vector<sim_host*> stirred;                               // those whose due time may have changed
   sim_host* running = nullptr;
   std::uint64_t births = 0;
   std::multiset<std::pair<std::string, std::string>> cuts;
