--- a/swarm/capacity.cpp
+++ b/swarm/capacity.cpp
@@ -23,24 +23,28 @@
 constexpr auto day = 86400.0;
 constexpr auto core_bound = 0.018, memory_bound = 128.0 * (1 << 20), bytes_bound = 18000.0;
 
-const auto counts = std::vector<std::string>{"frames_out", "frames_in", "bytes_out", "bytes_in", "near_frames", "near_bytes", "resumes", "cpu_us"};
+const auto counts = std::vector<std::string>{"frames_out",  "frames_in",  "bytes_out", "bytes_in",
+                                             "near_frames", "near_bytes", "resumes",   "cpu_us"};
 const auto states = std::vector<std::string>{"timers", "heap_bytes", "pull_bytes", "disk_bytes"};
 const auto kinds = std::vector<std::string>{"queen", "comb", "forager", "scout"};
 
 auto as_figures(const counters& c) -> figures {
   auto f = [](auto n) { return static_cast<double>(n); };
-  return {{"frames_out", f(c.frames_out)}, {"frames_in", f(c.frames_in)}, {"bytes_out", f(c.bytes_out)}, {"bytes_in", f(c.bytes_in)},
-          {"near_frames", f(c.near_frames)}, {"near_bytes", f(c.near_bytes)}, {"resumes", f(c.resumes)}, {"cpu_us", f(c.nsec) / 1000}};
+  return {{"frames_out", f(c.frames_out)}, {"frames_in", f(c.frames_in)},     {"bytes_out", f(c.bytes_out)},
+          {"bytes_in", f(c.bytes_in)},     {"near_frames", f(c.near_frames)}, {"near_bytes", f(c.near_bytes)},
+          {"resumes", f(c.resumes)},       {"cpu_us", f(c.nsec) / 1000}};
 }
 
 auto spaces_of(std::int64_t cells) -> std::string {
   auto out = std::string();
   for (auto k = std::int64_t{0}; k * space_cells < cells; ++k)
-    out += (k ? "," : "") + (R"({"name":"s)" + std::to_string(k)) + R"(","keep_s":35,"urgency":5,"cells":)" + std::to_string(std::min(space_cells, cells - k * space_cells)) + "}";
+    out += (k ? "," : "") + (R"({"name":"s)" + std::to_string(k)) + R"(","keep_s":35,"urgency":5,"cells":)" +
+           std::to_string(std::min(space_cells, cells - k * space_cells)) + "}";
   return out;
 }
 auto charter_of(std::int64_t number, std::int64_t cells) -> std::string {
-  return R"({"number":)" + std::to_string(number) + R"(,"spaces":[)" + spaces_of(cells) + R"(],"rules":["allow all on *"]})";
+  return R"({"number":)" + std::to_string(number) + R"(,"spaces":[)" + spaces_of(cells) +
+         R"(],"rules":["allow all on *"]})";
 }
 auto topic_of(std::int64_t i, std::int64_t cells) -> std::string {
   auto spaces = (cells + space_cells - 1) / space_cells;
@@ -53,9 +57,11 @@
   hollow(const load& l, std::uint64_t seed) : at(l), f(seed, form(l)) { f.world.metered = true; }
 
   auto settle() -> void {
-    for (auto& n : f.names("queen")) f.start(n);
+    for (auto& n : f.names("queen"))
+      f.start(n);
     f.world.run(f.world.clock + 2 * sec);
-    for (auto& [n, p] : f.all) f.start(n);
+    for (auto& [n, p] : f.all)
+      f.start(n);
     f.boss = std::make_unique<keeper>(*f.outside, f.queen_webs, f.webs, f.log);
     charter();
     auto from = f.world.clock;
@@ -83,18 +89,23 @@
       if (!p->up() || !was.count(n)) continue;
       auto now = as_figures(p->h->done);
       auto& sum = out[p->kind];
-      for (auto& [k, v] : now) sum[k] += (v - was[n][k]) / seconds;
+      for (auto& [k, v] : now)
+        sum[k] += (v - was[n][k]) / seconds;
       if (p->q && p->q->leads()) {
-        for (auto& [k, v] : now) out["leader"][k] = (v - was[n][k]) / seconds;
+        for (auto& [k, v] : now)
+          out["leader"][k] = (v - was[n][k]) / seconds;
         stand(*p, out["leader"]);
       }
       stand(*p, sum);
     }
     for (auto& [kind, sum] : out)
       if (kind != "leader")
-        for (auto& [k, v] : sum) v /= static_cast<double>(up(kind));
-    for (const auto& k : counts) out["node"][k] = out["scout"][k] + out["forager"][k];
-    for (const auto& k : states) out["node"][k] = out["scout"][k] + out["forager"][k];
+        for (auto& [k, v] : sum)
+          v /= static_cast<double>(up(kind));
+    for (const auto& k : counts)
+      out["node"][k] = out["scout"][k] + out["forager"][k];
+    for (const auto& k : states)
+      out["node"][k] = out["scout"][k] + out["forager"][k];
     return out;
   }
 
@@ -110,11 +121,13 @@
     auto n = f.number;
     auto from = f.world.clock;
     f.operate([ok, body, n](keeper& k) -> task<void> {
-      for (auto i = 0; i < 40 && !*ok; ++i) *ok = co_await k.put(n, body);
+      for (auto i = 0; i < 40 && !*ok; ++i)
+        *ok = co_await k.put(n, body);
       if (*ok) *ok = co_await k.await_held(n, 60 * sec);
     });
     auto end = from + 120 * sec;
-    while (f.operating && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+    while (f.operating && f.world.clock < end)
+      f.world.run(f.world.clock + 10 * msec);
     if (!*ok) throw verdict("unsettled", "charter " + std::to_string(n) + " did not take hold");
     return static_cast<double>(f.world.clock - from) / msec;
   }
@@ -130,7 +143,8 @@
   }
   [[nodiscard]] auto delivered() const -> std::int64_t {
     auto n = std::int64_t{0};
-    for (const auto& [s, row] : f.log.deliveries) n += static_cast<std::int64_t>(row.size());
+    for (const auto& [s, row] : f.log.deliveries)
+      n += static_cast<std::int64_t>(row.size());
     return n;
   }
   auto lead() -> queen& {
@@ -144,7 +158,8 @@
   // The longest delivery but for one in a hundred, so far: milliseconds.
   [[nodiscard]] auto late() const -> double {
     auto all = std::vector<tick>();
-    for (const auto& [s, row] : f.log.deliveries) all.insert(all.end(), row.begin(), row.end());
+    for (const auto& [s, row] : f.log.deliveries)
+      all.insert(all.end(), row.begin(), row.end());
     if (all.empty()) return 0;
     std::sort(all.begin(), all.end());
     return static_cast<double>(all[(all.size() - 1) * 99 / 100]) / msec;
@@ -175,13 +190,18 @@
     if (founded < at.cells) return false;
     auto known = [&](const view& v) {
       auto n = std::size_t{0};
-      for (const auto& [q, t] : v.tables) n += t.rows.size();
-      auto needed = std::count_if(f.all.begin(), f.all.end(), [&](auto& e) { return (e.second->c || e.second->s) && v.need.covers(e.second->kind == "comb" ? "comb" : "forager", e.second->set.zone); });
+      for (const auto& [q, t] : v.tables)
+        n += t.rows.size();
+      auto needed = std::count_if(f.all.begin(), f.all.end(), [&](auto& e) {
+        return (e.second->c || e.second->s) &&
+               v.need.covers(e.second->kind == "comb" ? "comb" : "forager", e.second->set.zone);
+      });
       return static_cast<std::int64_t>(n) >= needed && v.cells_ver == law.cells_ver;
     };
     return std::all_of(f.all.begin(), f.all.end(), [&](auto& e) {
       auto& p = *e.second;
-      return !p.up() || p.q || (p.c && known(p.c->ses.known)) || (p.s && known(p.s->ses.known)) || (p.f && p.f->ready() && known(p.f->ses.known));
+      return !p.up() || p.q || (p.c && known(p.c->ses.known)) || (p.s && known(p.s->ses.known)) ||
+             (p.f && p.f->ready() && known(p.f->ses.known));
     });
   }
   auto callers() -> void {
@@ -203,7 +223,8 @@
       p.pipe = 8;
       f.callers.push_back(std::make_unique<caller>(*f.outside, *f.spread, f.log, p));
     }
-    wait("all callers are linked", [&] { return std::all_of(f.callers.begin(), f.callers.end(), [](auto& c) { return c->linked; }); });
+    wait("all callers are linked",
+         [&] { return std::all_of(f.callers.begin(), f.callers.end(), [](auto& c) { return c->linked; }); });
   }
   auto snapshot() -> std::map<std::string, figures> {
     auto out = std::map<std::string, figures>();
@@ -216,7 +237,8 @@
     sum["timers"] += static_cast<double>(p.h->timers());
     sum["heap_bytes"] += static_cast<double>(*p.h->heap);
     if (p.q || p.c)
-      for (const auto& [k, v] : p.box->solid) sum["disk_bytes"] += static_cast<double>(k.size() + v.size());
+      for (const auto& [k, v] : p.box->solid)
+        sum["disk_bytes"] += static_cast<double>(k.size() + v.size());
     const auto* v = p.c ? &p.c->ses.known : p.s ? &p.s->ses.known : p.f ? &p.f->ses.known : nullptr;
     auto none = view();
     if (v) sum["pull_bytes"] += static_cast<double>(pack(tree(v->lacks(none.vec()))).size());
@@ -227,14 +249,18 @@
 auto short_number(double v) -> std::string {
   auto os = std::ostringstream();
   auto a = std::abs(v);
-  if (a != 0 && a < 0.0005) os << std::scientific << std::setprecision(1) << v;
-  else os << std::fixed << std::setprecision(a >= 100 ? 0 : a >= 10 ? 1 : a >= 1 ? 2 : 4) << v;
+  if (a != 0 && a < 0.0005)
+    os << std::scientific << std::setprecision(1) << v;
+  else
+    os << std::fixed << std::setprecision(a >= 100 ? 0 : a >= 10 ? 1 : a >= 1 ? 2 : 4) << v;
   return os.str();
 }
 
-auto points_of(const std::vector<reading>& row, const std::function<double(const reading&)>& x, const std::function<double(const reading&)>& y) {
+auto points_of(const std::vector<reading>& row, const std::function<double(const reading&)>& x,
+               const std::function<double(const reading&)>& y) {
   auto out = std::vector<std::pair<double, double>>();
-  for (const auto& r : row) out.emplace_back(x(r), y(r));
+  for (const auto& r : row)
+    out.emplace_back(x(r), y(r));
   return out;
 }
 auto value(const reading& r, const std::string& role, const std::string& key) -> double {
@@ -254,12 +280,15 @@
 struct makeup {
   curve nodes;
   double cell = 0, copy = 0;
-  [[nodiscard]] auto at(double n, double c, double held) const -> double { return nodes.at(n) + cell * c + copy * held; }
+  [[nodiscard]] auto at(double n, double c, double held) const -> double {
+    return nodes.at(n) + cell * c + copy * held;
+  }
 };
 // The slope of a figure over the cells; none where it is lost in the noise of the sampling.
 auto cell_slope(const survey& s, const std::function<double(const reading&)>& y) -> double {
   if (s.cells.size() < 2) return 0;
-  auto row = points_of(s.cells, [](auto& r) { return static_cast<double>(r.at.cells); }, y);
+  auto row = points_of(
+      s.cells, [](auto& r) { return static_cast<double>(r.at.cells); }, y);
   auto line = fit(row, 1);
   auto [low, high] = std::minmax_element(row.begin(), row.end());
   auto rise = std::abs(line.terms[1]) * (high->first - low->first);
@@ -276,22 +305,29 @@
     out.cell = std::min(all, slope_of("scout"));
     out.copy = (all - out.cell) * static_cast<double>(s.cells[0].at.combs()) / 2;
   }
-  auto rest = [&](const reading& r) { return value(r, role, key) - out.cell * static_cast<double>(r.at.cells) - out.copy * (role == "comb" ? copies(r.at) : 0); };
-  out.nodes = fit_growth(points_of(s.nodes, [](auto& r) { return static_cast<double>(r.at.nodes); }, rest));
+  auto rest = [&](const reading& r) {
+    return value(r, role, key) - out.cell * static_cast<double>(r.at.cells) -
+           out.copy * (role == "comb" ? copies(r.at) : 0);
+  };
+  out.nodes = fit_growth(points_of(
+      s.nodes, [](auto& r) { return static_cast<double>(r.at.nodes); }, rest));
   return out;
 }
 
 auto row_text(const std::string& name, const std::vector<std::string>& cols) -> std::string {
   auto os = std::ostringstream();
   os << std::left << std::setw(22) << name << std::right;
-  for (const auto& c : cols) os << ' ' << std::setw(12) << c;
+  for (const auto& c : cols)
+    os << ' ' << std::setw(12) << c;
   os << '\n';
   return os.str();
 }
-auto table(const std::vector<reading>& row, const std::string& title, const std::function<std::string(const reading&)>& head, bool totals) -> std::string {
+auto table(const std::vector<reading>& row, const std::string& title,
+           const std::function<std::string(const reading&)>& head, bool totals) -> std::string {
   auto out = "\n" + title + "\n";
   auto cols = std::vector<std::string>();
-  for (const auto& r : row) cols.push_back(head(r));
+  for (const auto& r : row)
+    cols.push_back(head(r));
   out += row_text("", cols);
   for (const auto& role : {"queen", "leader", "comb", "forager", "scout"})
     for (const auto* keys : {&counts, &states}) {
@@ -309,10 +345,12 @@
     }
   auto keys = std::set<std::string>();
   for (const auto& r : row)
-    for (const auto& [k, v] : r.fleet) keys.insert(k);
+    for (const auto& [k, v] : r.fleet)
+      keys.insert(k);
   for (const auto& k : keys) {
     cols.clear();
-    for (const auto& r : row) cols.push_back(short_number(r.fleet.count(k) ? r.fleet.at(k) : 0));
+    for (const auto& r : row)
+      cols.push_back(short_number(r.fleet.count(k) ? r.fleet.at(k) : 0));
     out += row_text("fleet " + k, cols);
   }
   return out;
@@ -323,25 +361,31 @@
 auto load::combs() const -> std::int64_t { return std::max<std::int64_t>(2, (nodes - 3) / 4); }
 auto load::foragers() const -> std::int64_t { return nodes - 3 - combs(); }
 
-auto machine_memory() -> std::int64_t { return static_cast<std::int64_t>(sysconf(_SC_PHYS_PAGES)) * sysconf(_SC_PAGESIZE); }
+auto machine_memory() -> std::int64_t {
+  return static_cast<std::int64_t>(sysconf(_SC_PHYS_PAGES)) * sysconf(_SC_PAGESIZE);
+}
 
 auto memory_of(const load& l) -> std::int64_t {
   auto links = l.combs() * l.foragers() + l.nodes * 4;
   auto views = 2 * l.foragers() + l.combs() + 3;
-  return links * (24 << 10) + views * (l.nodes * 2048 + l.cells * 2048 + (256 << 10)) + l.cells * (512 << 10) + l.listeners * (64 << 10) + l.rate * (1 << 20);
+  return links * (24 << 10) + views * (l.nodes * 2048 + l.cells * 2048 + (256 << 10)) + l.cells * (512 << 10) +
+         l.listeners * (64 << 10) + l.rate * (1 << 20);
 }
 
 auto check(const load& l, std::int64_t machine) -> void {
   auto in = [](const char* what, std::int64_t v, std::int64_t low, std::int64_t high) {
-    if (v < low || v > high) throw verdict("shape", std::string(what) + ": " + std::to_string(v) + " is outside " + std::to_string(low) + " to " + std::to_string(high));
+    if (v < low || v > high)
+      throw verdict("shape", std::string(what) + ": " + std::to_string(v) + " is outside " + std::to_string(low) +
+                                 " to " + std::to_string(high));
   };
   in("fleet", l.nodes, 7, 1600);
   in("cells", l.cells, 1, 64 * space_cells);
   in("rate", l.rate, 0, 1000);
   in("listeners", l.listeners, 0, 4000);
   if (auto want = memory_of(l); want > machine / 2)
-    throw verdict("shape", "memory: a fleet of " + std::to_string(l.nodes) + " nodes and " + std::to_string(l.cells) + " cells may take " + std::to_string(want >> 20) +
-                               " MiB, over half of this machine's " + std::to_string(machine >> 20) + " MiB");
+    throw verdict("shape", "memory: a fleet of " + std::to_string(l.nodes) + " nodes and " + std::to_string(l.cells) +
+                               " cells may take " + std::to_string(want >> 20) + " MiB, over half of this machine's " +
+                               std::to_string(machine >> 20) + " MiB");
 }
 
 auto measure(const load& l, std::uint64_t seed, tick span) -> reading {
@@ -349,7 +393,8 @@
   h.settle();
   auto out = reading();
   out.at = l;
-  for (const auto& k : kinds) out.processes[k] = h.up(k);
+  for (const auto& k : kinds)
+    out.processes[k] = h.up(k);
   out.processes["node"] = out.processes["scout"];
   auto acked = h.acked(), got = h.delivered();
   auto last = [&] { return num(sub(h.lead().status(), "ledger"), "last"); };
@@ -392,19 +437,22 @@
 
 auto curve::at(double x) const -> double {
   auto y = 0.0;
-  for (auto i = terms.size(); i-- > 0;) y = y * x + terms[i];
+  for (auto i = terms.size(); i-- > 0;)
+    y = y * x + terms[i];
   return y;
 }
 
 auto fit(const std::vector<std::pair<double, double>>& points, std::size_t degree) -> curve {
   auto n = std::min(degree + 1, points.size());
   auto wide = 1.0;
-  for (const auto& [x, y] : points) wide = std::max(wide, std::abs(x));
+  for (const auto& [x, y] : points)
+    wide = std::max(wide, std::abs(x));
   // Normal equations, with x brought to at most 1.
   auto a = std::vector<std::vector<double>>(n, std::vector<double>(n + 1, 0));
   for (const auto& [x, y] : points)
     for (auto i = std::size_t{0}; i < n; ++i) {
-      for (auto j = std::size_t{0}; j < n; ++j) a[i][j] += std::pow(x / wide, static_cast<double>(i + j));
+      for (auto j = std::size_t{0}; j < n; ++j)
+        a[i][j] += std::pow(x / wide, static_cast<double>(i + j));
       a[i][n] += y * std::pow(x / wide, static_cast<double>(i));
     }
   for (auto i = std::size_t{0}; i < n; ++i) {
@@ -416,11 +464,13 @@
     for (auto k = std::size_t{0}; k < n; ++k) {
       if (k == i) continue;
       auto m = a[k][i] / a[i][i];
-      for (auto j = i; j <= n; ++j) a[k][j] -= m * a[i][j];
+      for (auto j = i; j <= n; ++j)
+        a[k][j] -= m * a[i][j];
     }
   }
   auto out = curve();
-  for (auto i = std::size_t{0}; i < n; ++i) out.terms.push_back(a[i][n] / a[i][i] / std::pow(wide, static_cast<double>(i)));
+  for (auto i = std::size_t{0}; i < n; ++i)
+    out.terms.push_back(a[i][n] / a[i][i] / std::pow(wide, static_cast<double>(i)));
   auto most = 0.0, off = 0.0;
   for (const auto& [x, y] : points) {
     most = std::max(most, std::abs(y));
@@ -442,15 +492,20 @@
   auto base = load();
   base.nodes = s.nodes.at(0);
   if (!s.cells.empty()) base.cells = s.cells[0];
-  for (auto n : s.nodes) plan.push_back({{n, base.cells, 0, 0}, &survey::nodes});
+  for (auto n : s.nodes)
+    plan.push_back({{n, base.cells, 0, 0}, &survey::nodes});
   for (auto c : s.cells)
     if (s.cells.size() > 1) plan.push_back({{base.nodes, c, 0, 0}, &survey::cells});
-  for (auto r : s.rates) plan.push_back({{base.nodes, base.cells, r, load_topics}, &survey::rates});
-  for (auto n : s.listeners) plan.push_back({{base.nodes, base.cells, s.rates.empty() ? 40 : s.rates[0], n}, &survey::listeners});
+  for (auto r : s.rates)
+    plan.push_back({{base.nodes, base.cells, r, load_topics}, &survey::rates});
+  for (auto n : s.listeners)
+    plan.push_back({{base.nodes, base.cells, s.rates.empty() ? 40 : s.rates[0], n}, &survey::listeners});
   auto machine = machine_memory();
-  for (const auto& [l, to] : plan) check(l, machine);  // all before the first is started
+  for (const auto& [l, to] : plan)
+    check(l, machine);  // all before the first is started
   auto out = survey();
-  for (const auto& [l, to] : plan) (out.*to).push_back(measure(l, s.seed, s.span));
+  for (const auto& [l, to] : plan)
+    (out.*to).push_back(measure(l, s.seed, s.span));
   return out;
 }
 
@@ -460,7 +515,8 @@
   for (const auto& k : {"frames", "bytes"}) {
     auto each = [&](const reading& r) {
       auto sum = 0.0;
-      for (const auto& kind : kinds) sum += total(r, kind, std::string(k) + "_out") + total(r, kind, std::string(k) + "_in");
+      for (const auto& kind : kinds)
+        sum += total(r, kind, std::string(k) + "_out") + total(r, kind, std::string(k) + "_in");
       return sum / static_cast<double>(r.at.nodes);
     };
     out[k] = each(s.nodes.back()) / each(s.nodes.front());
@@ -471,23 +527,37 @@
 }
 
 auto to_text(const survey& s) -> std::string {
-  auto out = std::string("One process, a second (simulated time; counts are exact, cpu_us and heap_bytes are this machine's and build's).\n");
-  auto x_of = [](std::int64_t load::*field) { return [field](const reading& r) { return std::to_string(r.at.*field); }; };
-  out += table(s.nodes, "nodes (idle, " + std::to_string(s.nodes.empty() ? 0 : s.nodes[0].at.cells) + " cells)", x_of(&load::nodes), false);
+  auto out = std::string(
+      "One process, a second (simulated time; counts are exact, cpu_us and heap_bytes are this machine's and "
+      "build's).\n");
+  auto x_of = [](std::int64_t load::*field) {
+    return [field](const reading& r) { return std::to_string(r.at.*field); };
+  };
+  out += table(s.nodes, "nodes (idle, " + std::to_string(s.nodes.empty() ? 0 : s.nodes[0].at.cells) + " cells)",
+               x_of(&load::nodes), false);
   for (auto i = std::size_t{1}; i < s.nodes.size(); ++i) {
     auto two = survey();
     two.nodes = {s.nodes.front(), s.nodes[i]};
     auto g = growth(two);
-    out += (i == 1 ? "\n" : "") + ("growth from " + std::to_string(s.nodes.front().at.nodes)) + " to " + std::to_string(s.nodes[i].at.nodes) + " nodes, for each node and second: frames x" + short_number(g["frames"]) + " (" +
-           short_number(g["frames_first"]) + " to " + short_number(g["frames_last"]) + "), bytes x" + short_number(g["bytes"]) + " (" + short_number(g["bytes_first"]) + " to " + short_number(g["bytes_last"]) + ")\n";
+    out += (i == 1 ? "\n" : "") + ("growth from " + std::to_string(s.nodes.front().at.nodes)) + " to " +
+           std::to_string(s.nodes[i].at.nodes) + " nodes, for each node and second: frames x" +
+           short_number(g["frames"]) + " (" + short_number(g["frames_first"]) + " to " +
+           short_number(g["frames_last"]) + "), bytes x" + short_number(g["bytes"]) + " (" +
+           short_number(g["bytes_first"]) + " to " + short_number(g["bytes_last"]) + ")\n";
   }
   auto first = s.nodes.empty() ? std::string("?") : std::to_string(s.nodes[0].at.nodes);
   if (!s.cells.empty()) out += table(s.cells, "cells (idle, " + first + " nodes)", x_of(&load::cells), false);
-  if (!s.rates.empty()) out += table(s.rates, "messages a second asked for (" + first + " nodes; all processes of a role together)", x_of(&load::rate), true);
-  if (!s.listeners.empty()) out += table(s.listeners, "listeners (" + first + " nodes; all processes of a role together)", x_of(&load::listeners), true);
+  if (!s.rates.empty())
+    out += table(s.rates, "messages a second asked for (" + first + " nodes; all processes of a role together)",
+                 x_of(&load::rate), true);
+  if (!s.listeners.empty())
+    out += table(s.listeners, "listeners (" + first + " nodes; all processes of a role together)",
+                 x_of(&load::listeners), true);
   if (s.nodes.size() < 2) return out;
 
-  out += "\nslopes: start, for each node, for each node squared (where a line misses by over a tenth), for each cell, for each copy held; at full size\n";
+  out +=
+      "\nslopes: start, for each node, for each node squared (where a line misses by over a tenth), for each cell, for "
+      "each copy held; at full size\n";
   out += row_text("", {"start", "node", "node^2", "cell", "copy", "miss", "full size"});
   auto held = 2 * full_cells / static_cast<double>(load{5200, 1, 0, 0}.combs());
   auto at_full = std::map<std::string, figures>();
@@ -498,21 +568,28 @@
         auto full = m.at(full_nodes, full_cells, std::string(role) == "comb" ? held : 0);
         at_full[role][k] = full;
         if (m.nodes.terms[0] == 0 && m.nodes.terms[1] == 0 && m.cell == 0) continue;
-        out += row_text(std::string(role) + " " + k, {short_number(m.nodes.terms[0]), short_number(m.nodes.terms[1]), m.nodes.terms.size() > 2 ? short_number(m.nodes.terms[2]) : "-",
-                                                      short_number(m.cell), short_number(m.copy), short_number(m.nodes.miss), short_number(full)});
+        out += row_text(std::string(role) + " " + k,
+                        {short_number(m.nodes.terms[0]), short_number(m.nodes.terms[1]),
+                         m.nodes.terms.size() > 2 ? short_number(m.nodes.terms[2]) : "-", short_number(m.cell),
+                         short_number(m.copy), short_number(m.nodes.miss), short_number(full)});
       }
   for (const auto& k : {"loss_bytes", "charter_bytes"}) {
     auto by = [&](const reading& r) { return r.fleet.at(k); };
-    auto n = fit_growth(points_of(s.nodes, [](auto& r) { return static_cast<double>(r.at.nodes); }, by));
+    auto n = fit_growth(points_of(
+        s.nodes, [](auto& r) { return static_cast<double>(r.at.nodes); }, by));
     auto c = cell_slope(s, by);
     auto base = s.nodes[0].at.cells;
     auto full = n.at(full_nodes) + c * (full_cells - static_cast<double>(base));
     at_full["fleet"][k] = full;
-    out += row_text(std::string("fleet ") + k, {short_number(n.terms[0]), short_number(n.terms[1]), n.terms.size() > 2 ? short_number(n.terms[2]) : "-", short_number(c), "-", short_number(n.miss), short_number(full)});
+    out += row_text(std::string("fleet ") + k, {short_number(n.terms[0]), short_number(n.terms[1]),
+                                                n.terms.size() > 2 ? short_number(n.terms[2]) : "-", short_number(c),
+                                                "-", short_number(n.miss), short_number(full)});
   }
 
-  out += "\nfull size: " + short_number(full_nodes) + " nodes, " + short_number(full_cells) + " cells, " + short_number(held) + " copies a comb\n";
-  out += row_text("", {"core % from", "to", "of 1.8 %", "heap MB", "of 128 MB", "KB/s", "of 18 KB/s", "frames/s", "timers"});
+  out += "\nfull size: " + short_number(full_nodes) + " nodes, " + short_number(full_cells) + " cells, " +
+         short_number(held) + " copies a comb\n";
+  out += row_text(
+      "", {"core % from", "to", "of 1.8 %", "heap MB", "of 128 MB", "KB/s", "of 18 KB/s", "frames/s", "timers"});
   for (const auto& role : {"queen", "leader", "comb", "node"}) {
     auto& f = at_full[role];
     // Resumes at full size, each at what one cost in the smallest fleet and in the largest.
@@ -520,33 +597,55 @@
     auto low = f["resumes"] * each(s.nodes.front()) / 1e6, high = f["resumes"] * each(s.nodes.back()) / 1e6;
     if (low > high) std::swap(low, high);
     auto bytes = f["bytes_in"] + f["bytes_out"];
-    out += row_text(role, {short_number(low * 100), short_number(high * 100), "x" + short_number(low / core_bound), short_number(f["heap_bytes"] / (1 << 20)), "x" + short_number(f["heap_bytes"] / memory_bound),
-                           short_number(bytes / 1000), "x" + short_number(bytes / bytes_bound), short_number(f["frames_in"] + f["frames_out"]), short_number(f["timers"])});
+    out +=
+        row_text(role, {short_number(low * 100), short_number(high * 100), "x" + short_number(low / core_bound),
+                        short_number(f["heap_bytes"] / (1 << 20)), "x" + short_number(f["heap_bytes"] / memory_bound),
+                        short_number(bytes / 1000), "x" + short_number(bytes / bytes_bound),
+                        short_number(f["frames_in"] + f["frames_out"]), short_number(f["timers"])});
   }
   auto losses = (13.0 + 770 * 2) / day, changes = full_changes / day;
-  out += "members that go or come: " + short_number(losses) + " a second x " + short_number(at_full["fleet"]["loss_bytes"]) + " bytes = " + short_number(losses * at_full["fleet"]["loss_bytes"] / 1000) + " KB/s into each node\n";
-  out += "configuration changes: " + short_number(changes) + " a second x " + short_number(at_full["fleet"]["charter_bytes"]) + " bytes = " + short_number(changes * at_full["fleet"]["charter_bytes"] / 1000) + " KB/s into each node\n";
-
-  auto foragers = static_cast<double>(load{5200, 1, 0, 0}.foragers()), combs = static_cast<double>(load{5200, 1, 0, 0}.combs());
-  out += "links: " + short_number(full_links / foragers) + " a forager; deliveries: " + short_number(full_deliveries / foragers) + " a second and forager, " + short_number(full_deliveries / combs) + " a second and comb\n";
+  out += "members that go or come: " + short_number(losses) + " a second x " +
+         short_number(at_full["fleet"]["loss_bytes"]) +
+         " bytes = " + short_number(losses * at_full["fleet"]["loss_bytes"] / 1000) + " KB/s into each node\n";
+  out += "configuration changes: " + short_number(changes) + " a second x " +
+         short_number(at_full["fleet"]["charter_bytes"]) +
+         " bytes = " + short_number(changes * at_full["fleet"]["charter_bytes"] / 1000) + " KB/s into each node\n";
+
+  auto foragers = static_cast<double>(load{5200, 1, 0, 0}.foragers()),
+       combs = static_cast<double>(load{5200, 1, 0, 0}.combs());
+  out += "links: " + short_number(full_links / foragers) +
+         " a forager; deliveries: " + short_number(full_deliveries / foragers) + " a second and forager, " +
+         short_number(full_deliveries / combs) + " a second and comb\n";
   auto cost = [&](const std::vector<reading>& row, const char* x, const char* name) {
     if (row.size() < 2) return;
-    out += "\nfor each " + std::string(name) + ", all processes of a role together\n" + row_text("", {"slope", "miss", "at full size"});
+    out += "\nfor each " + std::string(name) + ", all processes of a role together\n" +
+           row_text("", {"slope", "miss", "at full size"});
     for (const auto& role : kinds)
       for (const auto& k : counts) {
-        auto c = fit(points_of(row, [&](auto& r) { return r.fleet.at(x); }, [&](auto& r) { return total(r, role, k); }), 1);
+        auto c = fit(points_of(
+                         row, [&](auto& r) { return r.fleet.at(x); }, [&](auto& r) { return total(r, role, k); }),
+                     1);
         if (std::abs(c.terms[1]) < 1e-3 || role == "queen" || role == "scout") continue;
         auto full = c.terms[1] * full_deliveries / (role == "comb" ? combs : foragers);
-        out += row_text(role + " " + k, {short_number(c.terms[1]), short_number(c.miss), std::string(x) == "deliveries" ? short_number(full) : "-"});
+        out += row_text(role + " " + k, {short_number(c.terms[1]), short_number(c.miss),
+                                         std::string(x) == "deliveries" ? short_number(full) : "-"});
       }
   };
   cost(s.rates, "messages", "message published and delivered to one listener");
   cost(s.listeners, "deliveries", "delivery");
   if (s.listeners.size() > 1) {
-    auto heap = fit(points_of(s.listeners, [](auto& r) { return static_cast<double>(r.at.listeners); }, [](auto& r) { return total(r, "forager", "heap_bytes"); }), 1);
-    auto comb = fit(points_of(s.listeners, [](auto& r) { return static_cast<double>(r.at.listeners); }, [](auto& r) { return total(r, "comb", "heap_bytes"); }), 1);
-    out += "\nheap bytes for each listener: forager " + short_number(heap.terms[1]) + " (a forager at full size " + short_number(heap.terms[1] * full_links / foragers / (1 << 20)) + " MB), combs " + short_number(comb.terms[1]) +
-           " (the largest topic " + short_number(comb.terms[1] * full_listeners / (1 << 20)) + " MB on its pair)\n";
+    auto heap = fit(points_of(
+                        s.listeners, [](auto& r) { return static_cast<double>(r.at.listeners); },
+                        [](auto& r) { return total(r, "forager", "heap_bytes"); }),
+                    1);
+    auto comb = fit(points_of(
+                        s.listeners, [](auto& r) { return static_cast<double>(r.at.listeners); },
+                        [](auto& r) { return total(r, "comb", "heap_bytes"); }),
+                    1);
+    out += "\nheap bytes for each listener: forager " + short_number(heap.terms[1]) + " (a forager at full size " +
+           short_number(heap.terms[1] * full_links / foragers / (1 << 20)) + " MB), combs " +
+           short_number(comb.terms[1]) + " (the largest topic " +
+           short_number(comb.terms[1] * full_listeners / (1 << 20)) + " MB on its pair)\n";
   }
   return out;
 }
@@ -558,18 +657,26 @@
       auto roles = branch();
       for (const auto& [role, f] : r.roles) {
         auto one = branch();
-        for (const auto& [k, v] : f) one[k] = v;
+        for (const auto& [k, v] : f)
+          one[k] = v;
         if (auto it = r.processes.find(role); it != r.processes.end()) one["processes"] = it->second;
         roles[role] = one;
       }
       auto f = branch();
-      for (const auto& [k, v] : r.fleet) f[k] = v;
-      out.push_back(branch{{"nodes", r.at.nodes}, {"cells", r.at.cells}, {"rate", r.at.rate}, {"listeners", r.at.listeners}, {"roles", roles}, {"fleet", f}});
+      for (const auto& [k, v] : r.fleet)
+        f[k] = v;
+      out.push_back(branch{{"nodes", r.at.nodes},
+                           {"cells", r.at.cells},
+                           {"rate", r.at.rate},
+                           {"listeners", r.at.listeners},
+                           {"roles", roles},
+                           {"fleet", f}});
     }
     return out;
   };
   auto g = branch();
-  for (const auto& [k, v] : growth(s)) g[k] = v;
+  for (const auto& [k, v] : growth(s))
+    g[k] = v;
   auto slopes = branch();
   if (s.nodes.size() > 1)
     for (const auto& role : {"queen", "leader", "comb", "forager", "scout", "node"}) {
@@ -578,12 +685,18 @@
         for (const auto& k : *keys) {
           auto m = makeup_of(s, role, k);
           auto terms = twigs();
-          for (auto t : m.nodes.terms) terms.push_back(t);
+          for (auto t : m.nodes.terms)
+            terms.push_back(t);
           one[k] = branch{{"nodes", terms}, {"cell", m.cell}, {"copy", m.copy}, {"miss", m.nodes.miss}};
         }
       slopes[role] = one;
     }
-  return branch{{"nodes", rows(s.nodes)}, {"cells", rows(s.cells)}, {"rates", rows(s.rates)}, {"listeners", rows(s.listeners)}, {"growth", g}, {"slopes", slopes}};
+  return branch{{"nodes", rows(s.nodes)},
+                {"cells", rows(s.cells)},
+                {"rates", rows(s.rates)},
+                {"listeners", rows(s.listeners)},
+                {"growth", g},
+                {"slopes", slopes}};
 }
 
 }  // namespace hive
--- a/swarm/capacity.hpp
+++ b/swarm/capacity.hpp
@@ -31,8 +31,8 @@
 auto machine_memory() -> std::int64_t;
 
 // By name: frames_out, frames_in, bytes_out, bytes_in (to and from other machines), near_frames,
-// near_bytes (inside the machine), resumes (of coroutines), cpu_us: a second and process. timers, heap_bytes, pull_bytes
-// (all that a new node would pull), disk_bytes: standing at the end.
+// near_bytes (inside the machine), resumes (of coroutines), cpu_us: a second and process. timers, heap_bytes,
+// pull_bytes (all that a new node would pull), disk_bytes: standing at the end.
 using figures = std::map<std::string, double>;
 struct reading {
   load at;
--- a/swarm/capacity_test.cpp
+++ b/swarm/capacity_test.cpp
@@ -92,7 +92,8 @@
     nest_two->spawn([](pair_of_hosts& p) -> task<void> { p.far = co_await p.d->knocks.pop(*p.two); }(*this));
     nest_one->spawn([](pair_of_hosts& p, std::string to) -> task<void> {
       auto l = co_await p.one->dial(to, sec);
-      for (auto n : {10, 20, 100000}) l->send(std::string(static_cast<std::size_t>(n), 'x'));
+      for (auto n : {10, 20, 100000})
+        l->send(std::string(static_cast<std::size_t>(n), 'x'));
       p.near = l;
     }(*this, b.ip + ":7000"));
     world.run(sec);
@@ -126,7 +127,8 @@
 TEST(capacity_fleets, counts_repeat_exactly) {
   auto a = measure({8, 4, 0, 0}, 1, sec), b = measure({8, 4, 0, 0}, 1, sec);
   for (const auto* role : {"queen", "comb", "forager", "scout"})
-    for (const auto* k : {"frames_out", "frames_in", "bytes_out", "bytes_in", "near_bytes", "resumes", "timers", "pull_bytes"}) {
+    for (const auto* k :
+         {"frames_out", "frames_in", "bytes_out", "bytes_in", "near_bytes", "resumes", "timers", "pull_bytes"}) {
       DOUBLES_EQUAL(a.roles[role][k], b.roles[role][k], 0);
       CHECK(std::string(k).substr(0, 4) == "near" || a.roles[role][k] > 0);
     }
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -15,7 +15,8 @@
 
 auto shape::spaces() const -> std::string {
   auto c = std::to_string(cells);
-  return R"({"name":"alerts","keep_s":)" + std::to_string(keep) + R"(,"urgency":9,"cells":)" + c + R"(},{"name":"lookups","keep_s":)" + std::to_string(keep_low) + R"(,"urgency":1,"cells":)" + c + "}";
+  return R"({"name":"alerts","keep_s":)" + std::to_string(keep) + R"(,"urgency":9,"cells":)" + c +
+         R"(},{"name":"lookups","keep_s":)" + std::to_string(keep_low) + R"(,"urgency":1,"cells":)" + c + "}";
 }
 
 fleet::fleet(std::uint64_t s, shape sh) : world(s), form(std::move(sh)), seed(s) {
@@ -23,11 +24,17 @@
   ring_clock([] { return shown_clock ? 1700000000000 + *shown_clock / msec : 0; });
   world.loss = form.loss;
   auto& out = world.machine_at("outside", "out");
-  for (auto i = 1; i <= form.queens; ++i) seeds.push_back(world.machine_at("q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1)).ip + ":7000");
-  while (seeds.size() < 3) seeds.push_back("10.9.9." + std::to_string(seeds.size() + 1) + ":7000");
-  for (auto i = 1; i <= form.queens; ++i) add("queen", "queen-" + std::to_string(i), "q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1));
-  for (auto i = 1; i <= form.combs; ++i) add_comb();
-  for (auto i = 1; i <= form.foragers; ++i) add_forager();
+  for (auto i = 1; i <= form.queens; ++i)
+    seeds.push_back(world.machine_at("q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1)).ip +
+                    ":7000");
+  while (seeds.size() < 3)
+    seeds.push_back("10.9.9." + std::to_string(seeds.size() + 1) + ":7000");
+  for (auto i = 1; i <= form.queens; ++i)
+    add("queen", "queen-" + std::to_string(i), "q" + std::to_string(i), "z" + std::to_string((i - 1) % form.zones + 1));
+  for (auto i = 1; i <= form.combs; ++i)
+    add_comb();
+  for (auto i = 1; i <= form.foragers; ++i)
+    add_forager();
   outside = std::make_unique<sim_host>(world, out, false, seed * 7919 + 13);
   outside->cost = 1;
   desk = std::make_unique<nest>(*outside);
@@ -47,7 +54,8 @@
   shown_clock = nullptr;
 }
 
-auto fleet::config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const -> config {
+auto fleet::config_for(const std::string& kind, const std::string& name, const std::string& zone,
+                       const machine& m) const -> config {
   auto flags = form.set;
   flags["name"] = name;
   flags["zone"] = zone;
@@ -63,7 +71,8 @@
   return c;
 }
 
-auto fleet::add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone) -> void {
+auto fleet::add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone)
+    -> void {
   auto& m = world.machine_at(box, zone);
   m.sync_cost = form.sync;
   m.spikes = form.spikes;
@@ -81,7 +90,8 @@
 
 auto fleet::add_comb() -> std::string {
   auto i = 1;
-  while (all.count("comb-" + std::to_string(i))) ++i;
+  while (all.count("comb-" + std::to_string(i)))
+    ++i;
   auto n = std::to_string(i);
   add("comb", "comb-" + n, "c" + n, "z" + std::to_string((i - 1) % form.zones + 1));
   return "comb-" + n;
@@ -89,7 +99,8 @@
 
 auto fleet::add_queen() -> std::string {
   auto i = 1;
-  while (all.count("queen-" + std::to_string(i))) ++i;
+  while (all.count("queen-" + std::to_string(i)))
+    ++i;
   auto n = std::to_string(i);
   add("queen", "queen-" + n, "q" + n, "z" + std::to_string((i - 1) % form.zones + 1));
   if (boss) boss->meet(queen_webs.back());
@@ -105,12 +116,14 @@
 auto fleet::relist(const std::string& gone, const std::string& came) -> void {
   auto was = all.at(gone)->set.addr, is = all.at(came)->set.addr;
   std::replace(seeds.begin(), seeds.end(), was, is);
-  for (auto& [n, p] : all) std::replace(p->set.seeds.begin(), p->set.seeds.end(), was, is);
+  for (auto& [n, p] : all)
+    std::replace(p->set.seeds.begin(), p->set.seeds.end(), was, is);
 }
 
 auto fleet::add_forager() -> std::string {
   auto i = 1;
-  while (all.count("forager-" + std::to_string(i))) ++i;
+  while (all.count("forager-" + std::to_string(i)))
+    ++i;
   auto n = std::to_string(i), z = "z" + std::to_string((i - 1) % form.zones + 1);
   add("scout", "scout-" + n, "f" + n, z);
   add("forager", "forager-" + n, "f" + n, z);
@@ -174,8 +187,10 @@
     m->on = on;
   }
   for (auto& [n, p] : all) {
-    if (!p->box->on) kill(n);
-    else if (on) start(n);
+    if (!p->box->on)
+      kill(n);
+    else if (on)
+      start(n);
   }
 }
 
@@ -197,7 +212,8 @@
     auto seated = 0;
     for (const auto& v : list(sub(now, "ledger"), "voters"))
       for (const auto& [n, one] : all)
-        if (one->kind == "queen" && one->set.addr == str(v, "addr") && one->up()) seated += disk_of(n, "L/meta") == str(v, "id");
+        if (one->kind == "queen" && one->set.addr == str(v, "addr") && one->up())
+          seated += disk_of(n, "L/meta") == str(v, "id");
     return seated == form.queens;
   }
   if (p.kind != "comb") return true;
@@ -213,7 +229,8 @@
     }
   for (const auto& [id, r] : known->cells) {
     auto there = 0;
-    for (const auto& m : r.step) there += m == name_of(m) + "/" + disk_of(name_of(m), "B/disk");
+    for (const auto& m : r.step)
+      there += m == name_of(m) + "/" + disk_of(name_of(m), "B/disk");
     if (there < 2) return false;
   }
   return true;
@@ -237,7 +254,8 @@
   auto n = 0;
   for (const auto& [name, p] : all)
     if (p->kind == "queen")
-      n += std::any_of(p->box->solid.begin(), p->box->solid.end(), [&](const auto& kv) { return kv.second.find(body) != std::string::npos; });
+      n += std::any_of(p->box->solid.begin(), p->box->solid.end(),
+                       [&](const auto& kv) { return kv.second.find(body) != std::string::npos; });
   return n;
 }
 auto fleet::behind(std::int64_t n) const -> std::string {
@@ -265,7 +283,8 @@
     if (p->c && !p->h->frozen) {
       auto use = std::int64_t{0};
       auto now = p->c->status();
-      for (const auto& kv : sub(now, "cells").as_object()) use += str_or(kv.value(), "role") == "primary";
+      for (const auto& kv : sub(now, "cells").as_object())
+        use += str_or(kv.value(), "role") == "primary";
       if (use > most) {
         most = use;
         best = n;
@@ -325,7 +344,8 @@
     for (const auto& row : kv.value().as_object()) {
       auto hex = std::string(row.value().as_string());
       auto v = std::string();
-      for (auto i = std::size_t{0}; i + 1 < hex.size(); i += 2) v += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+      for (auto i = std::size_t{0}; i + 1 < hex.size(); i += 2)
+        v += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
       d[std::string(row.key())] = v;
     }
   }
@@ -349,24 +369,30 @@
 auto fleet::next_charter() -> std::string { return probe_charter(++number, form.spaces()); }
 
 auto fleet::begin() -> bool {
-  for (auto& [n, p] : all) start(n);
+  for (auto& [n, p] : all)
+    start(n);
   spread = std::make_unique<balancer>(*outside, webs);
   boss = std::make_unique<keeper>(*outside, queen_webs, webs, log);
   auto spaces = boost::json::parse("[" + form.spaces() + "]");
-  for (const auto& s : spaces.as_array()) log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
-  for (const auto& [name, ms] : form.budgets) log.note(*outside, branch{{"e", "budget"}, {"space", name}, {"ms", ms}});
+  for (const auto& s : spaces.as_array())
+    log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
+  for (const auto& [name, ms] : form.budgets)
+    log.note(*outside, branch{{"e", "budget"}, {"space", name}, {"ms", ms}});
   auto ok = std::make_shared<bool>(false);
   auto body = next_charter();
   operate([ok, body](keeper& k) -> task<void> {
-    for (auto i = 0; i < 40 && !*ok; ++i) *ok = co_await k.put(1, body);
+    for (auto i = 0; i < 40 && !*ok; ++i)
+      *ok = co_await k.put(1, body);
     if (*ok) *ok = co_await k.await_held(1, 60 * sec);
   });
   auto end = world.clock + 60 * sec;
-  while (operating && world.clock < end) world.run(world.clock + 100 * msec);
+  while (operating && world.clock < end)
+    world.run(world.clock + 100 * msec);
   if (!*ok) return false;
   // Cells must stand before callers are judged by time.
   auto topics = std::vector<std::string>();
-  for (auto i = 1; i <= form.topics; ++i) topics.push_back((i % 2 ? "alerts/t" : "lookups/t") + std::to_string(i));
+  for (auto i = 1; i <= form.topics; ++i)
+    topics.push_back((i % 2 ? "alerts/t" : "lookups/t") + std::to_string(i));
   for (auto i = 1; i <= form.callers; ++i) {
     auto p = caller::plan();
     p.name = "caller-" + std::to_string(i);
@@ -374,7 +400,8 @@
       auto t = topics[static_cast<std::size_t>((i * 3 + k * 2) % form.topics)];
       if (std::find(p.hear.begin(), p.hear.end(), t) == p.hear.end()) p.hear.push_back(t);
     }
-    p.tell = {topics[static_cast<std::size_t>(i % form.topics)], topics[static_cast<std::size_t>((i * 5 + 1) % form.topics)]};
+    p.tell = {topics[static_cast<std::size_t>(i % form.topics)],
+              topics[static_cast<std::size_t>((i * 5 + 1) % form.topics)]};
     p.every = form.every;
     p.pipe = static_cast<int>(form.pipeline);
     p.drop = form.drop;
@@ -382,8 +409,7 @@
     callers.push_back(std::make_unique<caller>(*outside, *spread, log, p));
   }
   world.run(world.clock + 3 * sec);
-  if (strolls)
-    desk->spawn(boss->stroll([this] { return number; }));
+  if (strolls) desk->spawn(boss->stroll([this] { return number; }));
   return true;
 }
 
@@ -393,7 +419,8 @@
 }
 
 auto fleet::finish(tick quiet) -> void {
-  for (auto& c : callers) c->hush();
+  for (auto& c : callers)
+    c->hush();
   world.run(world.clock + quiet);
   auto ok = std::make_shared<bool>(false);
   auto due = world.clock + 20 * sec;
@@ -401,7 +428,8 @@
   for (auto& n : names("queen"))
     if (all.at(n)->up()) from.push_back(all.at(n)->set.web);
   operate([ok, from, due](keeper& k) -> task<void> { *ok = co_await k.read_all(from, due); });
-  while (operating && world.clock < due + 10 * sec) world.run(world.clock + 100 * msec);
+  while (operating && world.clock < due + 10 * sec)
+    world.run(world.clock + 100 * msec);
   if (!*ok) log.note(*outside, branch{{"e", "newest"}, {"number", 0}, {"t0", world.clock / msec}});
   log.note(*outside, branch{{"e", "end"}, {"quiet", quiet / msec}});
 }
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -24,7 +24,7 @@
   std::int64_t cells = 2, keep = 35, keep_low = 0;  // keep_low: of the space without urgency
   [[nodiscard]] auto spaces() const -> std::string;
   std::map<std::string, std::int64_t> budgets;  // milliseconds by space, where there is no fault
-  std::map<std::string, std::string> set;  // settings laid over the defaults
+  std::map<std::string, std::string> set;       // settings laid over the defaults
 };
 
 class fleet {
@@ -47,7 +47,7 @@
   fleet(std::uint64_t seed, shape sh);
   ~fleet();
   auto start(const std::string& name) -> void;
-  auto kill(const std::string& name) -> void;   // SIGKILL
+  auto kill(const std::string& name) -> void;              // SIGKILL
   auto term(const std::string& name, tick grace) -> void;  // SIGTERM, then SIGKILL
   auto freeze(const std::string& name, bool on) -> void;
   auto power(const std::string& machine_or_zone, bool on) -> void;
@@ -64,14 +64,14 @@
   [[nodiscard]] auto leader() const -> std::string;
   auto names(const std::string& kind_or_zone) const -> std::vector<std::string>;
   auto add_comb() -> std::string;
-  auto add_queen() -> std::string;    // by the seeds as they stand
+  auto add_queen() -> std::string;               // by the seeds as they stand
   auto remove(const std::string& name) -> void;  // for good, with its disk
   // The list that settings files are written from: counts for each process from its next start.
   auto relist(const std::string& gone, const std::string& came) -> void;
   auto add_forager() -> std::string;  // with its scout, on a machine of their own
   // Runs an operator's task to its end on the simulated clock.
   auto operate(std::function<task<void>(keeper&)> fn) -> void;
-  auto begin() -> bool;   // all processes up, the first charter held, callers linked
+  auto begin() -> bool;             // all processes up, the first charter held, callers linked
   auto finish(tick quiet) -> void;  // callers stop, all is read back
   auto reset_links(double share) -> void;
   // All disks as they are synced, to a file and back: the formats of an earlier version.
@@ -97,7 +97,8 @@
   std::uint64_t claims = 0;
 
  private:
-  auto config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const -> config;
+  auto config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const
+      -> config;
   auto add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone) -> void;
   std::vector<std::string> seeds;
   std::uint64_t births = 0, seed;
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -34,14 +34,22 @@
   auto addr = f.all.at(voter)->set.addr;
   f.desk->spawn([](fleet& fl, std::string to, std::string who, bool urged, std::shared_ptr<int> o) -> task<void> {
     auto c = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
-    while (!c.up()) co_await rest(*fl.outside, 10 * msec);
-    auto q = tree(branch{{"op", "l.vote"}, {"term", 1000}, {"from", who}, {"last", 1000000}, {"last_term", 999}, {"dry", false}, {"go", urged}});
+    while (!c.up())
+      co_await rest(*fl.outside, 10 * msec);
+    auto q = tree(branch{{"op", "l.vote"},
+                         {"term", 1000},
+                         {"from", who},
+                         {"last", 1000000},
+                         {"last_term", 999},
+                         {"dry", false},
+                         {"go", urged}});
     auto r = co_await c.ask(std::move(q), fl.outside->now() + sec);
     *o = yes(r, "ok");
     fl.world.stop = true;
   }(f, addr, from, go, ok));
   auto end = f.world.clock + 3 * sec;
-  while (*ok < 0 && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+  while (*ok < 0 && f.world.clock < end)
+    f.world.run(f.world.clock + 10 * msec);
   return *ok;
 }
 auto follower(const fleet& f) -> std::string { return f.leader() == "queen-1" ? "queen-2" : "queen-1"; }
@@ -84,12 +92,20 @@
     auto& c = *f.all.at(who)->c;
     auto last = num(c.cell_at(id)->stand(), "last");
     auto said = std::make_shared<std::string>();
-    f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, std::int64_t at, std::int64_t epoch, std::shared_ptr<std::string> o) -> task<void> {
+    f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, std::int64_t at, std::int64_t epoch,
+                     std::shared_ptr<std::string> o) -> task<void> {
       auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
       link.on_note = [o](const tree& t) { *o += yes(t, "nack") ? "nack " : "taken "; };
-      while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+      while (!link.up())
+        co_await rest(*fl.outside, 10 * msec);
       auto rows = twigs{branch{{"v", 1}, {"g", true}, {"e", branch{{"k", "c"}, {"d", 1}}}}};
-      link.tell(branch{{"op", "c.log"}, {"cell", cell_id}, {"epoch", 1}, {"from", "comb-9/x"}, {"prev", at}, {"prev_epoch", epoch}, {"rows", rows}});
+      link.tell(branch{{"op", "c.log"},
+                       {"cell", cell_id},
+                       {"epoch", 1},
+                       {"from", "comb-9/x"},
+                       {"prev", at},
+                       {"prev_epoch", epoch},
+                       {"rows", rows}});
       try {
         auto q = tree(branch{{"op", "c.join"}, {"cell", cell_id}, {"epoch", 1}, {"from", "comb-9/x"}, {"last", at}});
         co_await link.ask(std::move(q), fl.outside->now() + sec);
@@ -144,7 +160,13 @@
     auto a = answers();
     (*ids)[n] = "seated-" + n;
     a.ask = [ids, n](wire_ptr, tree t) -> task<tree> {
-      auto out = branch{{"id", (*ids)[n]}, {"founded", false}, {"empty", true}, {"lead", ""}, {"term", num_or(t, "term", 0)}, {"ok", str_or(t, "op") == "l.vote"}, {"last", 0}};
+      auto out = branch{{"id", (*ids)[n]},
+                        {"founded", false},
+                        {"empty", true},
+                        {"lead", ""},
+                        {"term", num_or(t, "term", 0)},
+                        {"ok", str_or(t, "op") == "l.vote"},
+                        {"last", 0}};
       if (yes(t, "dry")) out["term"] = 0;
       co_return out;
     };
@@ -152,10 +174,12 @@
   }
   f.start("queen-1");
   f.world.run(f.world.clock + 200 * msec);
-  for (auto& [n, id] : *ids) id = "lost";
+  for (auto& [n, id] : *ids)
+    id = "lost";
   f.world.run(f.world.clock + 5 * sec);
   CHECK(!f.all.at("queen-1")->q->leads());
-  for (auto& [n, id] : *ids) id = "seated-" + n;
+  for (auto& [n, id] : *ids)
+    id = "seated-" + n;
   auto led = false;
   for (auto i = 0; i < 50; ++i) {
     f.world.run(f.world.clock + 100 * msec);
@@ -172,7 +196,8 @@
   for (auto i = 0; i < 2; ++i)
     f.desk->spawn([](fleet& fl, std::string to, int k, std::shared_ptr<std::vector<std::string>> o) -> task<void> {
       auto c = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
-      while (!c.up()) co_await rest(*fl.outside, 10 * msec);
+      while (!c.up())
+        co_await rest(*fl.outside, 10 * msec);
       co_await rest(*fl.outside, k * 100 * msec);
       try {
         auto q = tree(branch{{"op", "l.enter"}, {"addr", "10.7.7." + std::to_string(k + 1) + ":1"}, {"id", "new"}});
@@ -197,7 +222,8 @@
     link.on_note = [o](const tree& t) {
       if (str_or(t, "op") == "subbed") *o += str(t, "i") + std::to_string(num_or(t, "n", -1)) + " ";
     };
-    while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+    while (!link.up())
+      co_await rest(*fl.outside, 10 * msec);
     auto ask = branch{{"op", "sub"}, {"cell", cell_id}, {"i", "old"}, {"t", "alerts/x"}, {"d", "w"}, {"a", -1}};
     for (auto i = 0; i < 2; ++i) {
       link.tell(ask);
@@ -226,9 +252,16 @@
   auto at = num(f.all.at(who)->c->cell_at(id)->stand(), "last");
   f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, cell_row r, std::int64_t prev) -> task<void> {
     auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
-    while (!link.up()) co_await rest(*fl.outside, 10 * msec);
+    while (!link.up())
+      co_await rest(*fl.outside, 10 * msec);
     auto rows = twigs{branch{{"v", r.epoch}, {"g", false}, {"e", branch{{"k", "c"}, {"d", 1}}}}};
-    link.tell(branch{{"op", "c.log"}, {"cell", cell_id}, {"epoch", r.epoch}, {"from", r.prim}, {"prev", prev}, {"prev_epoch", r.epoch}, {"rows", rows}});
+    link.tell(branch{{"op", "c.log"},
+                     {"cell", cell_id},
+                     {"epoch", r.epoch},
+                     {"from", r.prim},
+                     {"prev", prev},
+                     {"prev_epoch", r.epoch},
+                     {"rows", rows}});
     co_await rest(*fl.outside, sec);
   }(f, f.all.at(who)->set.addr, id, row, at));
   f.world.run(f.world.clock + 100 * msec);
@@ -243,7 +276,8 @@
     CHECK(f.begin());
     auto lead = f.leader();
     auto far = lead == "queen-3" ? "queen-2" : "queen-3";
-    for (auto& n : f.names("queen")) f.all.at(n)->box->sync_cost = (n == lead) == slow_leader ? 300 * msec : msec;
+    for (auto& n : f.names("queen"))
+      f.all.at(n)->box->sync_cost = (n == lead) == slow_leader ? 300 * msec : msec;
     f.world.cut(f.all.at(far)->box->name, "*");
     f.world.cut("*", f.all.at(far)->box->name);
     auto body = f.next_charter();
@@ -254,7 +288,8 @@
       f.world.stop = true;
     });
     auto end = f.world.clock + 10 * sec;
-    while (*told < 0 && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+    while (*told < 0 && f.world.clock < end)
+      f.world.run(f.world.clock + 10 * msec);
     CHECK(*told >= 2);
   }
 }
@@ -263,7 +298,8 @@
   auto f = fleet(24, quiet_shape());
   CHECK(f.begin());
   f.world.run(f.world.clock + sec);
-  for (auto& n : f.names("f1")) f.freeze(n, true);
+  for (auto& n : f.names("f1"))
+    f.freeze(n, true);
   CHECK(f.all.at("forager-1")->f->ready());
   auto body = f.next_charter();
   auto who = std::make_shared<std::string>("never held");
@@ -274,7 +310,8 @@
     f.world.stop = true;
   });
   auto end = f.world.clock + 20 * sec;
-  while (f.operating && f.world.clock < end) f.world.run(f.world.clock + 10 * msec);
+  while (f.operating && f.world.clock < end)
+    f.world.run(f.world.clock + 10 * msec);
   STRCMP_EQUAL("", who->c_str());
 }
 // A node that is back with another disk is known not to have its copy: neither a claim nor a new pair waits
@@ -330,15 +367,18 @@
         auto& c = *f.all.at(n)->c;
         if (c.ses.fresh()) fresh.emplace(n, f.world.clock);
         for (const auto& [id, row] : c.ses.known.cells)
-          if (const auto* one = c.cell_at(id); one && one->live() && name_of(row.prim) == n) lives.emplace(n + " " + id, f.world.clock);
+          if (const auto* one = c.cell_at(id); one && one->live() && name_of(row.prim) == n)
+            lives.emplace(n + " " + id, f.world.clock);
       }
     }
     CHECK(led >= start + set.lose * 3 / 8);
     CHECK(led < start + set.lose * 3 / 8 + set.beat);
     LONGS_EQUAL(3, serves.size());
-    for (const auto& [n, t] : serves) CHECK(t - led < set.beat * 3 / 2);
+    for (const auto& [n, t] : serves)
+      CHECK(t - led < set.beat * 3 / 2);
     CHECK(lives.size() >= 4);
-    for (const auto& [at, t] : lives) CHECK(t - fresh.at(at.substr(0, at.find(' '))) < set.beat / 2);
+    for (const auto& [at, t] : lives)
+      CHECK(t - fresh.at(at.substr(0, at.find(' '))) < set.beat / 2);
   }
 }
 // A queen that the leader no longer grants leases to gives what is left of the old ones: who holds its session
@@ -379,14 +419,18 @@
     auto f = fleet(11, quiet_shape());
     CHECK(f.begin());
     for (auto i = 1; i <= 3; ++i)
-      LONGS_EQUAL(200, call(f, "POST", "/v1/publish", R"({"name":"old","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"word )" + std::to_string(i) + "\"}").code);
+      LONGS_EQUAL(200, call(f, "POST", "/v1/publish",
+                            R"({"name":"old","topic":"alerts/x","seq":)" + std::to_string(i) + R"(,"body":"word )" +
+                                std::to_string(i) + "\"}")
+                           .code);
     f.power("all", false);
     f.save_disks(to);
     return;
   }
   auto f = fleet(12, quiet_shape());
   f.load_disks(file);
-  for (auto& n : f.names("all")) f.start(n);
+  for (auto& n : f.names("all"))
+    f.start(n);
   f.world.run(f.world.clock + 10 * sec);
   auto r = call(f, "GET", "/v1/read?name=me&topic=alerts/x&after=0", "");
   LONGS_EQUAL(200, r.code);
@@ -416,14 +460,16 @@
   refuses("comb-1", "B/disk", seal(branch{{"format", 2}, {"id", "x"}}), "format is not 1");
   refuses("comb-1", "B/disk", "torn", "checksum");
   refuses("queen-1", "L/e/0000000000000001", "x", "lacks its first record");
-  refuses("queen-1", "L/meta", seal(branch{{"format", 9}, {"id", "x"}, {"term", 0}, {"voted", ""}, {"founded", false}}), "format is not 1");
+  refuses("queen-1", "L/meta", seal(branch{{"format", 9}, {"id", "x"}, {"term", 0}, {"voted", ""}, {"founded", false}}),
+          "format is not 1");
 }
 TEST_GROUP(takeover){};
 namespace {
 // How long until `done` holds, at most `most`.
 auto wait_for(fleet& f, tick most, const std::function<bool()>& done) -> tick {
   auto from = f.world.clock;
-  while (!done() && f.world.clock < from + most) f.world.run(f.world.clock + msec);
+  while (!done() && f.world.clock < from + most)
+    f.world.run(f.world.clock + msec);
   return f.world.clock - from;
 }
 }  // namespace
@@ -435,11 +481,15 @@
     CHECK(f.begin());
     auto old = f.primary_of(id);
     auto lose = f.all.at(old)->set.lose;
-    if (silent) f.power(f.all.at(old)->box->name, false);
-    else f.kill(old);
+    if (silent)
+      f.power(f.all.at(old)->box->name, false);
+    else
+      f.kill(old);
     auto took = wait_for(f, 3 * sec, [&] { return !f.primary_of(id).empty(); });
-    if (silent) CHECK(took > lose * 9 / 10 && took < lose * 3 / 2);
-    else CHECK(took < 100 * msec);
+    if (silent)
+      CHECK(took > lose * 9 / 10 && took < lose * 3 / 2);
+    else
+      CHECK(took < 100 * msec);
   }
 }
 // A kept cell whose second copy is killed has another before callers are told twice to come back.
@@ -471,18 +521,23 @@
   STRCMP_EQUAL(old.c_str(), f.primary_of(id).c_str());
   LONGS_EQUAL(epoch, f.all.at(old)->c->ses.known.cells.at(id).epoch);
 }
-// The voters' quiet protects a leader that lives: killed, it has a successor at once; silent, it is waited for (design 4.4).
+// The voters' quiet protects a leader that lives: killed, it has a successor at once; silent, it is waited for
+// (design 4.4).
 TEST(takeover, a_killed_leader_has_a_successor_at_once_and_a_silent_one_is_waited_for) {
   for (auto silent : {false, true}) {
     auto f = fleet(44, quiet_shape());
     CHECK(f.begin());
     auto old = f.leader();
     auto quiet = f.all.at(old)->set.lose * 3 / 8;
-    if (silent) f.power(f.all.at(old)->box->name, false);
-    else f.kill(old);
+    if (silent)
+      f.power(f.all.at(old)->box->name, false);
+    else
+      f.kill(old);
     auto took = wait_for(f, 5 * sec, [&] { return !f.leader().empty(); });
-    if (silent) CHECK(took > quiet * 3 / 4);
-    else CHECK(took < 150 * msec);
+    if (silent)
+      CHECK(took > quiet * 3 / 4);
+    else
+      CHECK(took < 150 * msec);
   }
 }
 // While a pair moves, the old copy's word still lets outputs out: the new one may claim a moment after
@@ -504,7 +559,9 @@
     for (const auto& n : f.names("comb"))
       if (n != prim && n != back) late = n;
     f.all.at(late)->box->sync_cost = 60 * msec;  // the new copy trails behind the old one
-    f.operate([&](keeper& k) -> task<void> { return [](keeper& kk, std::string n) -> task<void> { co_await kk.leave(n, "drain", 10 * sec); }(k, back); });
+    f.operate([&](keeper& k) -> task<void> {
+      return [](keeper& kk, std::string n) -> task<void> { co_await kk.leave(n, "drain", 10 * sec); }(k, back);
+    });
     auto end = f.world.clock + 8 * sec;
     auto said = std::int64_t{0};
     while (f.backup_of(id) != late && f.world.clock < end) {
--- a/swarm/main.cpp
+++ b/swarm/main.cpp
@@ -23,13 +23,15 @@
   for (auto t = std::string(); std::getline(in, t, ',');) {
     auto v = std::int64_t{0};
     auto [end, ec] = std::from_chars(t.data(), t.data() + t.size(), v);
-    if (ec != std::errc() || end != t.data() + t.size()) throw hive::verdict("shape", std::string(what) + ": '" + t + "' is no whole number");
+    if (ec != std::errc() || end != t.data() + t.size())
+      throw hive::verdict("shape", std::string(what) + ": '" + t + "' is no whole number");
     out.push_back(v);
   }
   return out;
 }
 
-auto survey_fleets(const char* nodes, const char* cells, const char* rates, const char* listeners, const char* seed, double span, const char* most, const char* json) -> int {
+auto survey_fleets(const char* nodes, const char* cells, const char* rates, const char* listeners, const char* seed,
+                   double span, const char* most, const char* json) -> int {
   auto got = hive::survey();
   auto frames = 0.0, bytes = 0.0;
   try {
@@ -39,13 +41,16 @@
     s.rates = whole_list("rate", rates);
     s.listeners = whole_list("listeners", listeners);
     if (seed) s.seed = static_cast<std::uint64_t>(whole_list("seeds", seed)[0]);
-    if (!(span >= 0.5 && span <= 600)) throw hive::verdict("shape", "span: " + std::to_string(span) + " is outside 0.5 to 600 seconds");
+    if (!(span >= 0.5 && span <= 600))
+      throw hive::verdict("shape", "span: " + std::to_string(span) + " is outside 0.5 to 600 seconds");
     s.span = static_cast<hive::tick>(span * hive::sec);
     if (most) {
       auto end = static_cast<char*>(nullptr);
       frames = std::strtod(most, &end);
       if (*end == ',') bytes = std::strtod(end + 1, &end);
-      if (*end || !(frames > 0) || !(bytes > 0)) throw hive::verdict("shape", std::string("growth: '") + most + "' is not two numbers over 0 with a comma between");
+      if (*end || !(frames > 0) || !(bytes > 0))
+        throw hive::verdict("shape",
+                            std::string("growth: '") + most + "' is not two numbers over 0 with a comma between");
       if (s.nodes.size() < 2) throw hive::verdict("shape", "growth: wants two fleets to compare");
     }
     got = hive::run_sweeps(s);
@@ -65,7 +70,8 @@
   if (!most) return 0;
   auto g = hive::growth(got);
   auto ok = g["frames"] <= frames && g["bytes"] <= bytes;
-  std::cout << (ok ? "ok" : "FAIL") << ": frames x" << g["frames"] << " (at most " << frames << "), bytes x" << g["bytes"] << " (at most " << bytes << ") for each node and second\n";
+  std::cout << (ok ? "ok" : "FAIL") << ": frames x" << g["frames"] << " (at most " << frames << "), bytes x"
+            << g["bytes"] << " (at most " << bytes << ") for each node and second\n";
   return ok ? 0 : 1;
 }
 
@@ -83,23 +89,29 @@
   auto* json = static_cast<char*>(nullptr);
   auto look = 0.0, span = 2.0;
   auto show = 0, small = 0, draw = 0;
-  poptOption opts[] = {{"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, one number or A-B; by default those the file names", "A-B"},
-                       {"log", 'l', POPT_ARG_NONE, &show, 0, "print the ring of a failing run", nullptr},
-                       {"shrink", 0, POPT_ARG_NONE, &small, 0, "cut the first seed's run down to the least that breaks the same rule, as a scenario; exit 3 if it passes", nullptr},
-                       {"look", 0, POPT_ARG_DOUBLE, &look, 0, "print the status of all processes at that time", "SECONDS"},
-                       {"draw", 0, POPT_ARG_NONE, &draw, 0, "print the scenario with the faults that the first seed draws", nullptr},
-                       {"set", 0, POPT_ARG_STRING, &over, 0, "settings laid over the scenario's", "KEY=VALUE,..."},
-                       {"history", 'o', POPT_ARG_STRING, &seen, 0, "write what was seen to a file", "FILE"},
-                       {"fleet", 0, POPT_ARG_STRING, &fleets, 0, "no scenario: measure idle fleets of so many hollow nodes", "N[,N...]"},
-                       {"cells", 0, POPT_ARG_STRING, &cells, 0, "their cells (48); the smallest fleet with each of several", "N[,N...]"},
-                       {"rate", 0, POPT_ARG_STRING, &rates, 0, "the smallest fleet also with so many messages a second", "N[,N...]"},
-                       {"listeners", 0, POPT_ARG_STRING, &listeners, 0, "the smallest fleet also with so many listeners, at the first rate", "N[,N...]"},
-                       {"span", 0, POPT_ARG_DOUBLE, &span, 0, "simulated time counted of each fleet (2)", "SECONDS"},
-                       {"json", 0, POPT_ARG_STRING, &json, 0, "write the fleets' figures and slopes as JSON too", "FILE"},
-                       {"growth", 0, POPT_ARG_STRING, &growth, 0, "exit 1 if frames or bytes for each node grow by more from the first fleet to the last", "FRAMES,BYTES"},
-                       {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
-                       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
-  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0), &poptFreeContext);
+  poptOption opts[] = {
+      {"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, one number or A-B; by default those the file names", "A-B"},
+      {"log", 'l', POPT_ARG_NONE, &show, 0, "print the ring of a failing run", nullptr},
+      {"shrink", 0, POPT_ARG_NONE, &small, 0,
+       "cut the first seed's run down to the least that breaks the same rule, as a scenario; exit 3 if it passes",
+       nullptr},
+      {"look", 0, POPT_ARG_DOUBLE, &look, 0, "print the status of all processes at that time", "SECONDS"},
+      {"draw", 0, POPT_ARG_NONE, &draw, 0, "print the scenario with the faults that the first seed draws", nullptr},
+      {"set", 0, POPT_ARG_STRING, &over, 0, "settings laid over the scenario's", "KEY=VALUE,..."},
+      {"history", 'o', POPT_ARG_STRING, &seen, 0, "write what was seen to a file", "FILE"},
+      {"fleet", 0, POPT_ARG_STRING, &fleets, 0, "no scenario: measure idle fleets of so many hollow nodes", "N[,N...]"},
+      {"cells", 0, POPT_ARG_STRING, &cells, 0, "their cells (48); the smallest fleet with each of several", "N[,N...]"},
+      {"rate", 0, POPT_ARG_STRING, &rates, 0, "the smallest fleet also with so many messages a second", "N[,N...]"},
+      {"listeners", 0, POPT_ARG_STRING, &listeners, 0,
+       "the smallest fleet also with so many listeners, at the first rate", "N[,N...]"},
+      {"span", 0, POPT_ARG_DOUBLE, &span, 0, "simulated time counted of each fleet (2)", "SECONDS"},
+      {"json", 0, POPT_ARG_STRING, &json, 0, "write the fleets' figures and slopes as JSON too", "FILE"},
+      {"growth", 0, POPT_ARG_STRING, &growth, 0,
+       "exit 1 if frames or bytes for each node grow by more from the first fleet to the last", "FRAMES,BYTES"},
+      {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr},
+      {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  auto ctx = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>(poptGetContext(nullptr, argc, argv, opts, 0),
+                                                                        &poptFreeContext);
   poptSetOtherOptionHelp(ctx.get(), "SCENARIO...");
   if (auto r = poptGetNextOpt(ctx.get()); r < -1) {
     std::cerr << poptBadOption(ctx.get(), 0) << ": " << poptStrerror(r) << '\n';
@@ -107,7 +119,8 @@
   }
   using words = std::unique_ptr<char, decltype(&free)>;
   auto held_seeds = words(seeds, &free), held_seen = words(seen, &free), held_over = words(over, &free);
-  auto held_fleets = words(fleets, &free), held_cells = words(cells, &free), held_rates = words(rates, &free), held_listeners = words(listeners, &free), held_growth = words(growth, &free), held_json = words(json, &free);
+  auto held_fleets = words(fleets, &free), held_cells = words(cells, &free), held_rates = words(rates, &free),
+       held_listeners = words(listeners, &free), held_growth = words(growth, &free), held_json = words(json, &free);
   hive::ring_setup(20000, "", false);
   if (fleets) return survey_fleets(fleets, cells, rates, listeners, seeds, span, growth, json);
   auto failed = 0, ran = 0;
@@ -129,7 +142,8 @@
         high = at == std::string::npos ? low : std::stoll(t.substr(at + 1));
       }
       auto row = std::vector<std::int64_t>();
-      for (auto n = low; n <= high; ++n) row.push_back(n);
+      for (auto n = low; n <= high; ++n)
+        row.push_back(n);
       if (!seeds) row.insert(row.end(), s.also.begin(), s.also.end());
       s.look = static_cast<hive::tick>(look * hive::sec);
       if (draw) {
@@ -138,7 +152,8 @@
       }
       if (small) {
         try {
-          auto t = hive::shrink(s, static_cast<std::uint64_t>(low), [](const std::string& l) { std::cerr << l << '\n'; });
+          auto t =
+              hive::shrink(s, static_cast<std::uint64_t>(low), [](const std::string& l) { std::cerr << l << '\n'; });
           std::cout << hive::write_scene(t, static_cast<std::uint64_t>(low));
           return 0;
         } catch (const hive::verdict& v) {
@@ -152,11 +167,13 @@
         std::cout << (r.bad.empty() ? "ok   " : "FAIL ") << s.name << " seed " << n << ": " << r.facts << '\n';
         if (seen) {
           auto out = std::ofstream(seen);
-          for (auto& e : r.seen) out << hive::text(e) << '\n';
+          for (auto& e : r.seen)
+            out << hive::text(e) << '\n';
         }
         if (r.bad.empty()) continue;
         ++failed;
-        for (auto i = std::size_t{0}; i < r.bad.size() && i < 12; ++i) std::cout << "     " << r.bad[i] << '\n';
+        for (auto i = std::size_t{0}; i < r.bad.size() && i < 12; ++i)
+          std::cout << "     " << r.bad[i] << '\n';
         if (show) std::cout << hive::ring_text();
       }
     } catch (const std::exception& e) {
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -13,15 +13,18 @@
 namespace {
 
 const auto verbs = std::map<std::string, std::size_t>{
-    {"kill", 1}, {"start", 1}, {"term", 1}, {"freeze", 1}, {"power", 1}, {"cut", 2}, {"oneway", 2}, {"island", 1},
-    {"losedisk", 1}, {"flip", 2}, {"reset", 1}, {"charter", 0}, {"stale", 0}, {"bad", 0}, {"race", 0}, {"leave", 2},
-    {"slow", 2}, {"loss", 1}, {"add", 0}, {"probe", 0}, {"full", 1}, {"roll", 1}, {"settings", 3}, {"evacuate", 0}, {"clear", 1}, {"grow", 0}, {"replace", 1}, {"step", 2}, {"riskdisk", 1}, {"riskflip", 2}};
+    {"kill", 1},   {"start", 1},  {"term", 1},     {"freeze", 1}, {"power", 1},    {"cut", 2},
+    {"oneway", 2}, {"island", 1}, {"losedisk", 1}, {"flip", 2},   {"reset", 1},    {"charter", 0},
+    {"stale", 0},  {"bad", 0},    {"race", 0},     {"leave", 2},  {"slow", 2},     {"loss", 1},
+    {"add", 0},    {"probe", 0},  {"full", 1},     {"roll", 1},   {"settings", 3}, {"evacuate", 0},
+    {"clear", 1},  {"grow", 0},   {"replace", 1},  {"step", 2},   {"riskdisk", 1}, {"riskflip", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
-    {"kill", 10}, {"freeze", 8}, {"term", 5}, {"roll", 2}, {"power", 4}, {"allpower", 1}, {"island", 4}, {"cut", 5},
-    {"oneway", 5}, {"pair", 4}, {"loss", 3}, {"slow", 4}, {"losedisk", 4}, {"flip", 1}, {"full", 2}, {"reset", 5},
-    {"charter", 6}, {"race", 3}, {"stale", 2}, {"bad", 2}, {"settings", 3}, {"add", 1}, {"evacuate", 2}};
+    {"kill", 10},    {"freeze", 8}, {"term", 5},     {"roll", 2},  {"power", 4},   {"allpower", 1},
+    {"island", 4},   {"cut", 5},    {"oneway", 5},   {"pair", 4},  {"loss", 3},    {"slow", 4},
+    {"losedisk", 4}, {"flip", 1},   {"full", 2},     {"reset", 5}, {"charter", 6}, {"race", 3},
+    {"stale", 2},    {"bad", 2},    {"settings", 3}, {"add", 1},   {"evacuate", 2}};
 
 // Sizes of the users, scaled down: a caller stands for so many.
 auto whole_day(scene& s, const std::string& who, std::int64_t scale) -> void {
@@ -43,7 +46,8 @@
   f.spikes = hovorna ? 0 : 0.001;
   f.spike = 1500 * msec;
   f.loss = hovorna ? 0 : 0.01;
-  f.budgets = hovorna ? std::map<std::string, std::int64_t>{{"alerts", 1500}, {"lookups", 1000}} : std::map<std::string, std::int64_t>{};
+  f.budgets = hovorna ? std::map<std::string, std::int64_t>{{"alerts", 1500}, {"lookups", 1000}}
+                      : std::map<std::string, std::int64_t>{};
 }
 
 auto number(const std::string& s) -> double {
@@ -63,14 +67,18 @@
   auto need = [&](std::size_t n) {
     if (w.size() != n + 1) throw verdict("scene", "'" + w[0] + "' wants " + std::to_string(n) + " words after it");
   };
-  auto whole = std::map<std::string, std::int64_t*>{{"zones", &s.form.zones}, {"queens", &s.form.queens}, {"combs", &s.form.combs},
-                                                    {"foragers", &s.form.foragers}, {"callers", &s.form.callers}, {"topics", &s.form.topics}, {"pipeline", &s.form.pipeline}, {"cells", &s.form.cells}, {"keep", &s.form.keep}, {"keep_low", &s.form.keep_low}};
+  auto whole = std::map<std::string, std::int64_t*>{{"zones", &s.form.zones},       {"queens", &s.form.queens},
+                                                    {"combs", &s.form.combs},       {"foragers", &s.form.foragers},
+                                                    {"callers", &s.form.callers},   {"topics", &s.form.topics},
+                                                    {"pipeline", &s.form.pipeline}, {"cells", &s.form.cells},
+                                                    {"keep", &s.form.keep},         {"keep_low", &s.form.keep_low}};
   if (auto it = whole.find(w[0]); it != whole.end()) {
     need(1);
     *it->second = static_cast<std::int64_t>(number(w[1]));
   } else if (w[0] == "day") {
     need(2);
-    if (w[1] != "hovorna" && w[1] != "podnebni") throw verdict("scene", "'" + w[1] + "' is no shape of a day: hovorna or podnebni");
+    if (w[1] != "hovorna" && w[1] != "podnebni")
+      throw verdict("scene", "'" + w[1] + "' is no shape of a day: hovorna or podnebni");
     auto scale = number(w[2]);
     if (scale < 1 || scale > 100) throw verdict("scene", "a day is scaled down by 1 to 100, not " + w[2]);
     whole_day(s, w[1], static_cast<std::int64_t>(scale));
@@ -79,11 +87,13 @@
     s.storm = to_tick(w[1]);
     s.storm_low = to_tick(w[2]);
     s.storm_high = to_tick(w[3]);
-    if (s.storm < sec || s.storm > 600 * sec) throw verdict("scene", "a storm has a fault each 1 to 600 s, not " + w[1]);
+    if (s.storm < sec || s.storm > 600 * sec)
+      throw verdict("scene", "a storm has a fault each 1 to 600 s, not " + w[1]);
     if (s.storm_high <= s.storm_low) throw verdict("scene", "the storm ends before it begins");
   } else if (w[0] == "without") {
     for (auto i = std::size_t{1}; i < w.size(); ++i) {
-      if (std::none_of(squalls.begin(), squalls.end(), [&](auto& q) { return q.first == w[i]; })) throw verdict("scene", "'" + w[i] + "' is no fault of a storm");
+      if (std::none_of(squalls.begin(), squalls.end(), [&](auto& q) { return q.first == w[i]; }))
+        throw verdict("scene", "'" + w[i] + "' is no fault of a storm");
       s.without.insert(w[i]);
     }
   } else if (w[0] == "budget") {
@@ -155,12 +165,15 @@
   auto it = verbs.find(c.verb);
   if (it == verbs.end()) throw verdict("scene", "'" + c.verb + "' is no deed");
   auto i = std::size_t{3};
-  for (; i < w.size() && w[i] != "for"; ++i) c.args.push_back(w[i]);
+  for (; i < w.size() && w[i] != "for"; ++i)
+    c.args.push_back(w[i]);
   if (i < w.size()) {
     if (i + 2 != w.size()) throw verdict("scene", "'for' wants one number at the end");
     c.span = to_tick(w[i + 1]);
   }
-  if (c.args.size() != it->second) throw verdict("scene", "'" + c.verb + "' wants " + std::to_string(it->second) + " words, has " + std::to_string(c.args.size()));
+  if (c.args.size() != it->second)
+    throw verdict("scene", "'" + c.verb + "' wants " + std::to_string(it->second) + " words, has " +
+                               std::to_string(c.args.size()));
   return c;
 }
 
@@ -169,20 +182,27 @@
   std::map<std::string, std::int64_t>& counts;
   std::set<std::string> leaving;
 
-  auto pick(const std::vector<std::string>& row) -> std::string { return row.empty() ? "" : row[f.world.dice() % row.size()]; }
+  auto pick(const std::vector<std::string>& row) -> std::string {
+    return row.empty() ? "" : row[f.world.dice() % row.size()];
+  }
   // Names may be roles: primary:CELL, backup:CELL, leader, busiest, any:KIND, all:KIND, or a name, kind or zone.
   auto who(const std::string& a) -> std::vector<std::string> {
     auto one = std::string();
-    if (a == "leader") one = f.leader();
-    else if (a == "busiest") one = f.busiest();
-    else if (a.rfind("primary:", 0) == 0) one = f.primary_of(a.substr(8));
-    else if (a.rfind("backup:", 0) == 0) one = f.backup_of(a.substr(7));
+    if (a == "leader")
+      one = f.leader();
+    else if (a == "busiest")
+      one = f.busiest();
+    else if (a.rfind("primary:", 0) == 0)
+      one = f.primary_of(a.substr(8));
+    else if (a.rfind("backup:", 0) == 0)
+      one = f.backup_of(a.substr(7));
     else if (a.rfind("any:", 0) == 0) {
       auto row = std::vector<std::string>();
       for (auto& n : f.names(a.substr(4)))
         if (f.all.at(n)->up()) row.push_back(n);
       one = pick(row);
-    } else return f.names(a);
+    } else
+      return f.names(a);
     return one.empty() ? std::vector<std::string>() : std::vector<std::string>{one};
   }
   // For cuts: a machine's name, or a zone.
@@ -312,7 +332,8 @@
       w.loss = number(a[0]);
       after(c.span, [this] { f.world.loss = f.form.loss; });
     } else if (c.verb == "settings") {
-      for (auto& n : who(a[0])) ++counts[f.settle(n, a[1], a[2]) ? "settings_taken" : "settings_refused"];
+      for (auto& n : who(a[0]))
+        ++counts[f.settle(n, a[1], a[2]) ? "settings_taken" : "settings_refused"];
     } else if (c.verb == "add") {
       f.start(f.add_comb());
     } else if (c.verb == "replace") {  // gone for good; after the span an empty one comes at another address
@@ -372,16 +393,21 @@
       if (n < 1) return;
       return f.operate([body, cs](keeper& k) -> task<void> {
         auto r = co_await k.ask("PUT", "/v1/charter", body, never / 2);
-        if (r.code == 200) ++(*cs)["stale_taken"];
-        else ++(*cs)["stale_refused"];
+        if (r.code == 200)
+          ++(*cs)["stale_taken"];
+        else
+          ++(*cs)["stale_refused"];
       });
     }
     if (verb == "bad") {
       return f.operate([cs](keeper& k) -> task<void> {
-        auto body = std::string(R"({"number":999999,"spaces":[{"name":"x","keep_s":-5,"odd":1}],"rules":["allow what"]})");
+        auto body =
+            std::string(R"({"number":999999,"spaces":[{"name":"x","keep_s":-5,"odd":1}],"rules":["allow what"]})");
         auto r = co_await k.ask("PUT", "/v1/charter", body, never / 2);
-        if (r.code == 200) ++(*cs)["bad_taken"];
-        else ++(*cs)["bad_refused"];
+        if (r.code == 200)
+          ++(*cs)["bad_taken"];
+        else
+          ++(*cs)["bad_refused"];
       });
     }
     auto body = f.next_charter();
@@ -424,13 +450,16 @@
     row = row.substr(0, row.find('#'));
     auto is = std::istringstream(row);
     auto w = std::vector<std::string>();
-    for (auto one = std::string(); is >> one;) w.push_back(one);
+    for (auto one = std::string(); is >> one;)
+      w.push_back(one);
     if (w.empty()) continue;
     try {
       auto loose = std::set<std::string>{"at", "storm", "seeds", "also", "length", "want", "without"};
       if (!loose.count(w[0])) s.plain.push_back(whole);
-      if (w[0] == "at") s.cues.push_back(parse_cue(w, n));
-      else stage(s, w);
+      if (w[0] == "at")
+        s.cues.push_back(parse_cue(w, n));
+      else
+        stage(s, w);
     } catch (const verdict& v) {
       throw verdict("scene", "line " + std::to_string(n) + ": " + v.why);
     }
@@ -448,12 +477,20 @@
   auto node = [&]() -> std::string {
     auto n = [&](std::int64_t of) { return std::to_string(1 + below(static_cast<std::uint64_t>(of))); };
     switch (below(9)) {
-      case 0: return "leader";
-      case 1: case 2: return "busiest";
-      case 3: return "queen-" + n(s.form.queens);
-      case 4: case 5: return "comb-" + n(s.form.combs);
-      case 6: return "scout-" + n(s.form.foragers);
-      default: return "forager-" + n(s.form.foragers);
+      case 0:
+        return "leader";
+      case 1:
+      case 2:
+        return "busiest";
+      case 3:
+        return "queen-" + n(s.form.queens);
+      case 4:
+      case 5:
+        return "comb-" + n(s.form.combs);
+      case 6:
+        return "scout-" + n(s.form.foragers);
+      default:
+        return "forager-" + n(s.form.foragers);
     }
   };
   auto total = 0;
@@ -495,7 +532,8 @@
       c.args = {zone()};
     } else if (kind == "cut" || kind == "oneway") {
       c.args = {zone(), zone()};
-      while (c.args[0] == c.args[1]) c.args[1] = zone();
+      while (c.args[0] == c.args[1])
+        c.args[1] = zone();
     } else if (kind == "pair") {
       c.verb = "cut";
       c.args = {node(), node()};
@@ -505,7 +543,8 @@
       c.args = {node(), std::to_string(5 + below(60))};
     } else if (kind == "losedisk") {
       c.verb = "riskdisk";
-      c.args = {below(3) ? "comb-" + std::to_string(1 + below(static_cast<std::uint64_t>(s.form.combs))) : "queen-" + std::to_string(1 + below(static_cast<std::uint64_t>(s.form.queens)))};
+      c.args = {below(3) ? "comb-" + std::to_string(1 + below(static_cast<std::uint64_t>(s.form.combs)))
+                         : "queen-" + std::to_string(1 + below(static_cast<std::uint64_t>(s.form.queens)))};
       span = real(1, 8);
     } else if (kind == "flip") {
       c.verb = "riskflip";
@@ -541,14 +580,17 @@
 
 auto write_scene(const scene& s, std::uint64_t seed) -> std::string {
   auto out = std::string();
-  for (const auto& l : s.plain) out += l + "\n";
+  for (const auto& l : s.plain)
+    out += l + "\n";
   out += "length " + plain_number(s.length) + "\nseeds " + std::to_string(seed) + " " + std::to_string(seed) + "\n";
   auto cues = s.cues;
-  for (auto& c : draw_storm(s, seed)) cues.push_back(c);
+  for (auto& c : draw_storm(s, seed))
+    cues.push_back(c);
   std::stable_sort(cues.begin(), cues.end(), [](auto& a, auto& b) { return a.low < b.low; });
   for (const auto& c : cues) {
     out += "at " + plain_number(c.low) + (c.high > c.low ? ".." + plain_number(c.high) : "") + " " + c.verb;
-    for (const auto& a : c.args) out += " " + a;
+    for (const auto& a : c.args)
+      out += " " + a;
     if (c.span) out += " for " + plain_number(c.span);
     out += "\n";
   }
@@ -557,11 +599,13 @@
 
 auto shrink(scene s, std::uint64_t seed, const std::function<void(const std::string&)>& say) -> scene {
   auto rule = [](const outcome& o) { return o.bad.empty() ? std::string() : o.bad[0].substr(0, o.bad[0].find(':')); };
-  for (auto& c : draw_storm(s, seed)) s.cues.push_back(c);
+  for (auto& c : draw_storm(s, seed))
+    s.cues.push_back(c);
   s.storm = 0;
   s.wants.clear();
   auto want = rule(play(s, seed));
-  if (want.empty()) throw verdict("passes", "seed " + std::to_string(seed) + " breaks nothing: there is nothing to shrink");
+  if (want.empty())
+    throw verdict("passes", "seed " + std::to_string(seed) + " breaks nothing: there is nothing to shrink");
   std::stable_sort(s.cues.begin(), s.cues.end(), [](auto& a, auto& b) { return a.low < b.low; });
   auto still = [&](const scene& t) { return rule(play(t, seed)) == want; };
   // The end first: each fault after the breach is dropped with it.
@@ -574,9 +618,12 @@
   for (auto part = std::max<std::size_t>(1, s.cues.size() / 2);; part /= 2) {
     for (auto at = std::size_t{0}; at < s.cues.size();) {
       auto t = s;
-      t.cues.erase(t.cues.begin() + static_cast<std::ptrdiff_t>(at), t.cues.begin() + static_cast<std::ptrdiff_t>(std::min(t.cues.size(), at + part)));
-      if (still(t)) s = t;
-      else at += part;
+      t.cues.erase(t.cues.begin() + static_cast<std::ptrdiff_t>(at),
+                   t.cues.begin() + static_cast<std::ptrdiff_t>(std::min(t.cues.size(), at + part)));
+      if (still(t))
+        s = t;
+      else
+        at += part;
     }
     say(want + ": " + std::to_string(s.cues.size()) + " faults in " + plain_number(s.length) + " s");
     if (part <= 1) break;
@@ -597,7 +644,8 @@
   auto hand = stagehand{f, counts, {}};
   if (s.standing) hand.hurt();
   auto cues = s.cues;
-  for (auto& c : draw_storm(s, seed)) cues.push_back(c);
+  for (auto& c : draw_storm(s, seed))
+    cues.push_back(c);
   for (const auto& c : cues) {
     auto span = static_cast<std::uint64_t>(c.high - c.low);
     auto at = zero + c.low + static_cast<tick>(span ? f.world.dice() % span : 0);
@@ -632,7 +680,9 @@
     }
   }
   auto after = cost();
-  auto each = [&](std::size_t i) { return static_cast<std::int64_t>((after[i] - before[i]) * sec / static_cast<std::uint64_t>(s.length)); };
+  auto each = [&](std::size_t i) {
+    return static_cast<std::int64_t>((after[i] - before[i]) * sec / static_cast<std::uint64_t>(s.length));
+  };
   counts["sends"] = each(0);  // each second
   counts["wakes"] = each(3);
   counts["lag_ms"] = lag;
@@ -640,18 +690,22 @@
   // Half of all runs close with one last fault: all power goes while callers are at it.
   if (s.standing) hand.mend();
   if (seed % 2 == 0 && s.closing) {
-    while (hand.wrong && f.world.clock < zero + s.length + 60 * sec) f.world.run(f.world.clock + sec);
+    while (hand.wrong && f.world.clock < zero + s.length + 60 * sec)
+      f.world.run(f.world.clock + sec);
     if (!hand.wrong) {
       if (s.standing) hand.hurt();
       hand.act(cue{0, 0, "power", {"all"}, 2 * sec + static_cast<tick>(f.world.dice() % (3 * sec)), 0});
       f.world.run(f.world.clock + 15 * sec);
     }
   }
-  while (hand.wrong && !s.day.empty() && f.world.clock < zero + s.length + 120 * sec) f.world.run(f.world.clock + sec);
+  while (hand.wrong && !s.day.empty() && f.world.clock < zero + s.length + 120 * sec)
+    f.world.run(f.world.clock + sec);
   f.finish(s.day.empty() ? s.quiet : 14 * sec);
   const auto& seen = f.log.rows;
-  for (auto& b : judge(seen)) out.bad.push_back(b.rule + ": " + b.what);
-  for (auto& [k, v] : f.log.counts) counts[k.substr(k.rfind(' ') + 1)] += v;  // by code
+  for (auto& b : judge(seen))
+    out.bad.push_back(b.rule + ": " + b.what);
+  for (auto& [k, v] : f.log.counts)
+    counts[k.substr(k.rfind(' ') + 1)] += v;  // by code
   for (auto& e : seen) {
     auto k = str(e, "e");
     if (k == "got" || k == "try" || k == "probe" || k == "newest") ++counts[k];
@@ -676,23 +730,30 @@
     counts["usage_low"] = *std::min_element(uses.begin(), uses.end());
     counts["usage_gap"] = *std::max_element(uses.begin(), uses.end()) - counts["usage_low"];
   }
-  if (counts["thin_charter"]) out.bad.push_back("accepted: a charter was told accepted while fewer than two disks held it");
-  if (counts["held_early"]) out.bad.push_back("held: a charter was told to have taken hold while a forager could serve by an older one");
+  if (counts["thin_charter"])
+    out.bad.push_back("accepted: a charter was told accepted while fewer than two disks held it");
+  if (counts["held_early"])
+    out.bad.push_back("held: a charter was told to have taken hold while a forager could serve by an older one");
   if (counts["stale_taken"]) out.bad.push_back("a stale charter was taken");
   if (counts["bad_taken"]) out.bad.push_back("an invalid charter was taken");
   for (const auto& [k, v] : s.wants) {
     auto low = k[0] != '<';
     auto key = low ? k : k.substr(1);
-    if (low ? counts[key] < v : counts[key] > v) out.bad.push_back("wanted " + std::string(low ? "at least " : "at most ") + std::to_string(v) + " of " + key + ", saw " + std::to_string(counts[key]));
+    if (low ? counts[key] < v : counts[key] > v)
+      out.bad.push_back("wanted " + std::string(low ? "at least " : "at most ") + std::to_string(v) + " of " + key +
+                        ", saw " + std::to_string(counts[key]));
   }
   auto facts = std::ostringstream();
-  for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms", "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
+  for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms",
+                 "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
     if (counts[k]) facts << k << ' ' << counts[k] << ' ';
-  facts << "sends/s " << each(0) << " kB/s " << each(1) / 1000 << " syncs/s " << each(2) << " wakes/s " << each(3) << ' ';
+  facts << "sends/s " << each(0) << " kB/s " << each(1) / 1000 << " syncs/s " << each(2) << " wakes/s " << each(3)
+        << ' ';
   facts << "steps " << f.world.steps;
   if (!out.bad.empty()) {
     auto row = std::string("answers:");
-    for (const auto& [k, v] : f.log.counts) row += " [" + k + "] " + std::to_string(v);
+    for (const auto& [k, v] : f.log.counts)
+      row += " [" + k + "] " + std::to_string(v);
     log(grade::note, "scene", row);
   }
   out.facts = facts.str();
--- a/swarm/scene.hpp
+++ b/swarm/scene.hpp
@@ -14,7 +14,7 @@
   tick low = 0, high = 0;  // when: drawn between the two from the seed
   std::string verb;
   std::vector<std::string> args;
-  tick span = 0;           // "for N": how long
+  tick span = 0;  // "for N": how long
   int line = 0;
 };
 struct scene {
@@ -23,14 +23,14 @@
   std::vector<cue> cues;
   tick length = 30 * sec, quiet = 8 * sec;
   bool standing = false;  // something is wrong all the time: 12 s to serve again are not judged
-  bool closing = true;  // under half of the seeds all power goes at the end
+  bool closing = true;    // under half of the seeds all power goes at the end
   std::int64_t seed_low = 1, seed_high = 5;
-  std::vector<std::int64_t> also;  // seeds that failed once
-  tick storm = 0, storm_low = 0, storm_high = 0;  // faults drawn from the seed: one each so often, from, to
-  std::set<std::string> without;                  // of the drawn ones, these are left out
-  tick look = 0;                                  // print what all processes believe then
-  std::string day;                                // the shape of a whole day, if it is one
-  std::vector<std::string> plain;                 // the file's lines that --shrink keeps
+  std::vector<std::int64_t> also;                           // seeds that failed once
+  tick storm = 0, storm_low = 0, storm_high = 0;            // faults drawn from the seed: one each so often, from, to
+  std::set<std::string> without;                            // of the drawn ones, these are left out
+  tick look = 0;                                            // print what all processes believe then
+  std::string day;                                          // the shape of a whole day, if it is one
+  std::vector<std::string> plain;                           // the file's lines that --shrink keeps
   std::vector<std::pair<std::string, std::int64_t>> wants;  // least counts of what must have happened
 };
 // Throws verdict naming the line of a fault.
--- a/waggle/waggle.cpp
+++ b/waggle/waggle.cpp
@@ -2,10 +2,10 @@
 
 #include <zlib.h>
 
-#include <boost/property_tree/json_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
 #include <algorithm>
 #include <array>
+#include <boost/property_tree/json_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
 #include <cctype>
 #include <functional>
 #include <set>
@@ -35,7 +35,8 @@
       out.push_back({",", i++ + 1});
     } else {
       auto from = i;
-      while (i < s.size() && s[i] != ',' && !std::isspace(static_cast<unsigned char>(s[i]))) ++i;
+      while (i < s.size() && s[i] != ',' && !std::isspace(static_cast<unsigned char>(s[i])))
+        ++i;
       out.push_back({s.substr(from, i - from), from + 1});
     }
   }
@@ -67,12 +68,14 @@
     if (peek() == "under") {
       take("under");
       auto n = take("a number of bytes");
-      if (n.empty() || n.size() > 7 || n.find_first_not_of("0123456789") != std::string::npos) fail("'" + n + "' is no number of bytes");
+      if (n.empty() || n.size() > 7 || n.find_first_not_of("0123456789") != std::string::npos)
+        fail("'" + n + "' is no number of bytes");
       test({step::kind::size, {}, {}, std::stoll(n), 0});
     }
     end();
     out.push_back({first == "allow" ? step::kind::allow : step::kind::deny, {}, {}, 0, 0});
-    for (auto i : tests) out[i].skip = out.size();
+    for (auto i : tests)
+      out[i].skip = out.size();
   }
 
  private:
@@ -98,11 +101,16 @@
     auto mask = std::int64_t{0};
     while (true) {
       auto w = take("an act");
-      if (w == "publish") mask |= 1;
-      else if (w == "subscribe") mask |= 2;
-      else if (w == "read") mask |= 4;
-      else if (w == "all") mask |= 7;
-      else fail("'" + w + "' is no act: publish, subscribe, read, all");
+      if (w == "publish")
+        mask |= 1;
+      else if (w == "subscribe")
+        mask |= 2;
+      else if (w == "read")
+        mask |= 4;
+      else if (w == "all")
+        mask |= 7;
+      else
+        fail("'" + w + "' is no act: publish, subscribe, read, all");
       if (peek() != ",") return mask;
       take(",");
     }
@@ -136,12 +144,14 @@
   auto keys(const ptree& t, const std::string& place, const std::set<std::string>& known) -> void {
     auto seen = std::set<std::string>();
     for (const auto& [k, v] : t) {
-      if (!known.count(k)) bad(place + k, "is no key known here");
-      else if (!seen.insert(k).second) bad(place + k, "is repeated");
+      if (!known.count(k))
+        bad(place + k, "is no key known here");
+      else if (!seen.insert(k).second)
+        bad(place + k, "is repeated");
     }
   }
-  auto whole(const tree& t, const std::string& place, const std::string& key, std::int64_t low,
-             std::int64_t high, std::int64_t other, bool must) -> std::int64_t {
+  auto whole(const tree& t, const std::string& place, const std::string& key, std::int64_t low, std::int64_t high,
+             std::int64_t other, bool must) -> std::int64_t {
     const auto& v = sub(t, key);
     if (v.is_null() && !t.as_object().contains(key)) {
       if (must) bad(place + key, "is missing");
@@ -152,7 +162,8 @@
       return other;
     }
     if (v.get_int64() < low || v.get_int64() > high) {
-      bad(place + key, std::to_string(v.get_int64()) + " is outside " + std::to_string(low) + " to " + std::to_string(high));
+      bad(place + key,
+          std::to_string(v.get_int64()) + " is outside " + std::to_string(low) + " to " + std::to_string(high));
       return other;
     }
     return v.get_int64();
@@ -194,8 +205,10 @@
     out->number = r.whole(t, "", "number", 1, 1LL << 52, 0, true);
     out->after = r.whole(t, "", "after", 0, 1LL << 52, -1, false);
     out->subscriptions = r.whole(t, "", "subscriptions", 1, 1000000, 1000, false);
-    if (const auto& o = sub(t, "origin"); o.is_string()) out->origin = o.get_string();
-    else if (t.as_object().contains("origin")) r.bad("origin", "wants a string");
+    if (const auto& o = sub(t, "origin"); o.is_string())
+      out->origin = o.get_string();
+    else if (t.as_object().contains("origin"))
+      r.bad("origin", "wants a string");
     if (!sub(t, "spaces").is_array()) {
       r.bad("spaces", "wants a list of spaces");
     } else {
@@ -211,28 +224,38 @@
           r.bad(place, "is no space");
           continue;
         }
-        r.keys(ps, place, {"name", "prefix", "pool", "keep_s", "keep_ms", "urgency", "cells", "order", "timeout_ms", "aim_ms"});
+        r.keys(ps, place,
+               {"name", "prefix", "pool", "keep_s", "keep_ms", "urgency", "cells", "order", "timeout_ms", "aim_ms"});
         auto one = space();
-        if (!sub(s, "name").is_string()) r.bad(place + "name", "wants a string");
-        else one.name = str(s, "name");
-        if (sub(s, "name").is_string() && !good_name(one.name)) r.bad(place + "name", "wants 1 to 64 letters, digits, '-', '_', '.'");
+        if (!sub(s, "name").is_string())
+          r.bad(place + "name", "wants a string");
+        else
+          one.name = str(s, "name");
+        if (sub(s, "name").is_string() && !good_name(one.name))
+          r.bad(place + "name", "wants 1 to 64 letters, digits, '-', '_', '.'");
         one.prefix = r.word(s, place, "prefix", one.name + "/");
         if (!good_topic(one.prefix)) r.bad(place + "prefix", "wants 1 to 200 printable characters without a space");
         one.pool = r.word(s, place, "pool", one.name);
         if (!good_name(one.pool)) r.bad(place + "pool", "wants 1 to 64 letters, digits, '-', '_', '.'");
         auto fine = s.get_object().contains("keep_ms");  // one of the two, not both
         if (fine && s.get_object().contains("keep_s")) r.bad(place + "keep_ms", "stands beside keep_s");
-        one.keep_ms = fine ? r.whole(s, place, "keep_ms", 0, 7 * 86400000LL, 0, true) : r.whole(s, place, "keep_s", 0, 7 * 86400, 0, true) * 1000;
+        one.keep_ms = fine ? r.whole(s, place, "keep_ms", 0, 7 * 86400000LL, 0, true)
+                           : r.whole(s, place, "keep_s", 0, 7 * 86400, 0, true) * 1000;
         one.urgency = r.whole(s, place, "urgency", 0, 9, 0, false);
         one.cells = r.whole(s, place, "cells", 1, 64, 4, false);
         one.timeout_ms = r.whole(s, place, "timeout_ms", 0, 86400000, 0, false);
         one.aim_ms = r.whole(s, place, "aim_ms", 0, 86400000, 0, false);
         auto order = r.word(s, place, "order", "topic");
-        if (order != "topic" && order != "sender") r.bad(place + "order", "'" + order + "' is neither topic nor sender");
+        if (order != "topic" && order != "sender")
+          r.bad(place + "order", "'" + order + "' is neither topic nor sender");
         one.by_topic = order != "sender";
-        if (!out->spaces.emplace(one.name, one).second) r.bad(place + "name", "'" + one.name + "' is the name of two spaces");
-        if (!heads.insert(one.prefix).second) r.bad(place + "prefix", "'" + one.prefix + "' is the prefix of two spaces");
-        if (auto w = widths.emplace(one.pool, one.cells); w.first->second != one.cells) r.bad(place + "cells", "pool '" + one.pool + "' has " + std::to_string(w.first->second) + " in another space");
+        if (!out->spaces.emplace(one.name, one).second)
+          r.bad(place + "name", "'" + one.name + "' is the name of two spaces");
+        if (!heads.insert(one.prefix).second)
+          r.bad(place + "prefix", "'" + one.prefix + "' is the prefix of two spaces");
+        if (auto w = widths.emplace(one.pool, one.cells); w.first->second != one.cells)
+          r.bad(place + "cells",
+                "pool '" + one.pool + "' has " + std::to_string(w.first->second) + " in another space");
       }
       if (list(t, "spaces").size() > spaces_most) r.bad("spaces", "more than " + std::to_string(spaces_most));
     }
@@ -246,8 +269,10 @@
       auto i = 0;
       for (const auto& l : rules.get_array()) {
         auto place = "rules[" + std::to_string(i++) + "]";
-        if (!l.is_string()) r.bad(place, "wants a string");
-        else lines.emplace_back(l.get_string());
+        if (!l.is_string())
+          r.bad(place, "wants a string");
+        else
+          lines.emplace_back(l.get_string());
       }
       if (lines.size() > 1000) r.bad("rules", "more than 1000");
     }
@@ -261,7 +286,8 @@
     for (const auto& s : out->rules) {
       if (s.what != step::kind::route) continue;
       auto stem = s.more.substr(0, s.more.find('*'));
-      if (!out->space_of(stem)) r.bad("rules", "route to '" + s.more + "': no space '" + stem.substr(0, stem.find('/')) + "'");
+      if (!out->space_of(stem))
+        r.bad("rules", "route to '" + s.more + "': no space '" + stem.substr(0, stem.find('/')) + "'");
     }
   }
   if (!r.faults.empty()) {
@@ -294,7 +320,8 @@
       return false;
     }
   }
-  while (p < pat.size() && pat[p] == '*') ++p;
+  while (p < pat.size() && pat[p] == '*')
+    ++p;
   return p == pat.size();
 }
 
@@ -304,18 +331,30 @@
     const auto& s = rules[i];
     auto pass = true;
     switch (s.what) {
-      case step::kind::doing: pass = (s.num & static_cast<std::int64_t>(a)) != 0; break;
-      case step::kind::topic: pass = like(s.arg, out.topic); break;
-      case step::kind::caller: pass = like(s.arg, caller); break;
-      case step::kind::size: pass = bytes < static_cast<std::size_t>(s.num); break;
+      case step::kind::doing:
+        pass = (s.num & static_cast<std::int64_t>(a)) != 0;
+        break;
+      case step::kind::topic:
+        pass = like(s.arg, out.topic);
+        break;
+      case step::kind::caller:
+        pass = like(s.arg, caller);
+        break;
+      case step::kind::size:
+        pass = bytes < static_cast<std::size_t>(s.num);
+        break;
       case step::kind::route:
         if (like(s.arg, out.topic)) {
           auto star = s.arg.find('*');
           out.topic = star == std::string::npos ? s.more : s.more.substr(0, s.more.size() - 1) + out.topic.substr(star);
         }
         break;
-      case step::kind::allow: out.ok = true; return out;
-      case step::kind::deny: out.why = "a rule denies it"; return out;
+      case step::kind::allow:
+        out.ok = true;
+        return out;
+      case step::kind::deny:
+        out.why = "a rule denies it";
+        return out;
     }
     i = pass ? i + 1 : s.skip;
   }
@@ -353,7 +392,8 @@
   auto lean = boost::json::serialize(t);
   auto size = ::compressBound(lean.size());
   auto out = std::string(size, '\0');
-  if (::compress2(reinterpret_cast<Bytef*>(out.data()), &size, reinterpret_cast<const Bytef*>(lean.data()), lean.size(), Z_BEST_SPEED) != Z_OK)
+  if (::compress2(reinterpret_cast<Bytef*>(out.data()), &size, reinterpret_cast<const Bytef*>(lean.data()), lean.size(),
+                  Z_BEST_SPEED) != Z_OK)
     throw verdict("busy", "a charter could not be deflated");
   out.resize(size);
   pack_kept = std::move(out);
@@ -387,7 +427,8 @@
 
 auto hash64(const std::string& s) -> std::uint64_t {
   auto h = std::uint64_t{1469598103934665603ULL};
-  for (auto c : s) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  for (auto c : s)
+    h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
   h ^= h >> 32;
   return h * 0x9E3779B97F4A7C15ULL;
 }
--- a/waggle/waggle.hpp
+++ b/waggle/waggle.hpp
@@ -14,8 +14,8 @@
 // A space of topics: all whose longest matching prefix is its own.
 struct space {
   std::string name, prefix, pool;
-  std::int64_t keep_ms = 0;     // 0: messages are not kept
-  std::int64_t urgency = 0;     // 9 overtakes 0
+  std::int64_t keep_ms = 0;  // 0: messages are not kept
+  std::int64_t urgency = 0;  // 9 overtakes 0
   std::int64_t cells = 4;
   std::int64_t timeout_ms = 0;  // a publish unanswered for so long is given up; 0: no bound of its own
   std::int64_t aim_ms = 0;      // within this a message is worth most; 0: not said
@@ -32,9 +32,9 @@
 // One step of the compiled rules; the forager interprets them.
 struct step {
   enum class kind { topic, caller, doing, size, allow, deny, route } what;
-  std::string arg, more;   // a pattern; for a route also its target
-  std::int64_t num = 0;    // a mask of acts, or bytes
-  std::size_t skip = 0;    // where to go on if the test fails
+  std::string arg, more;  // a pattern; for a route also its target
+  std::int64_t num = 0;   // a mask of acts, or bytes
+  std::size_t skip = 0;   // where to go on if the test fails
 };
 
 struct ruling {
@@ -53,8 +53,8 @@
   std::string origin;                 // the text this was translated from, if any
   std::string body;                   // as the operator sent it
 
-  [[nodiscard]] auto judge(act a, const std::string& caller, const std::string& topic,
-                           std::size_t bytes) const -> ruling;
+  [[nodiscard]] auto judge(act a, const std::string& caller, const std::string& topic, std::size_t bytes) const
+      -> ruling;
   [[nodiscard]] auto space_of(std::string_view topic) const -> const space*;
   auto index() -> void;  // after `spaces` was filled: pools and prefixes
   // What the nodes need of it, the origin left out, deflated. Made once; `took` says that it came so.
@@ -62,7 +62,7 @@
   auto took(std::string bytes) const -> void { pack_kept = std::move(bytes); }
 
  private:
-  std::vector<std::size_t> lengths;  // of prefixes, the longest first
+  std::vector<std::size_t> lengths;                          // of prefixes, the longest first
   std::map<std::string, std::string, std::less<>> prefixes;  // -> name
   mutable std::string pack_kept;
 };
--- a/waggle/waggle_test.cpp
+++ b/waggle/waggle_test.cpp
@@ -39,15 +39,18 @@
   STRCMP_CONTAINS("number: is repeated", faults_of(R"({"number":1,"number":2,"spaces":[]})").c_str());
   STRCMP_CONTAINS("shape: is no key", faults_of(R"({"number":1,"shape":2,"spaces":[]})").c_str());
   STRCMP_CONTAINS("number: wants a whole number", faults_of(R"({"number":"1","spaces":[]})").c_str());
-  STRCMP_CONTAINS("spaces[0].keep_s: 9999999 is outside", faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":9999999}]})").c_str());
-  STRCMP_CONTAINS("rules[0]: column 7: 'shout' is no act", faults_of(R"({"number":1,"spaces":[],"rules":["allow shout on *"]})").c_str());
+  STRCMP_CONTAINS("spaces[0].keep_s: 9999999 is outside",
+                  faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":9999999}]})").c_str());
+  STRCMP_CONTAINS("rules[0]: column 7: 'shout' is no act",
+                  faults_of(R"({"number":1,"spaces":[],"rules":["allow shout on *"]})").c_str());
   STRCMP_CONTAINS("no space 'c'", faults_of(R"({"number":1,"spaces":[],"rules":["route a/* to c/*"]})").c_str());
   STRCMP_CONTAINS("line 1", faults_of("{").c_str());
 }
 
 TEST_GROUP(waggle_spaces){};
 TEST(waggle_spaces, the_longest_prefix_holds_a_topic) {
-  auto c = hive::compile(R"({"number":1,"spaces":[{"name":"a","prefix":"kafi810.","pool":"kept","keep_ms":35000,"cells":8},
+  auto c =
+      hive::compile(R"({"number":1,"spaces":[{"name":"a","prefix":"kafi810.","pool":"kept","keep_ms":35000,"cells":8},
       {"name":"b","prefix":"kafi810.2","pool":"live","keep_ms":0,"cells":2},{"name":"c","prefix":"k","pool":"kept","keep_ms":1500,"cells":8,"urgency":3},
       {"name":"d","keep_s":2}]})");
   STRCMP_EQUAL("a", c->space_of("kafi810.1f")->name.c_str());
@@ -62,12 +65,16 @@
   LONGS_EQUAL(3, c->pools.at("kept").urgency);
   LONGS_EQUAL(0, c->pools.at("live").keep_ms);
   // A topic of one pool stays in its cell whichever space of it holds the topic.
-  STRCMP_EQUAL(hive::cell_of(c->spaces.at("a"), "kafi810.1f").c_str(), hive::cell_of(c->spaces.at("c"), "kafi810.1f").c_str());
+  STRCMP_EQUAL(hive::cell_of(c->spaces.at("a"), "kafi810.1f").c_str(),
+               hive::cell_of(c->spaces.at("c"), "kafi810.1f").c_str());
 }
 TEST(waggle_spaces, faults_of_spaces_are_named) {
-  auto with = [](const std::string& more) { return faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":1},)" + more + "]}"); };
+  auto with = [](const std::string& more) {
+    return faults_of(R"({"number":1,"spaces":[{"name":"a","keep_s":1},)" + more + "]}");
+  };
   STRCMP_EQUAL("none", with(R"({"name":"b","keep_s":1})").c_str());
-  STRCMP_CONTAINS("spaces[1].prefix: 'a/' is the prefix of two", with(R"({"name":"b","keep_s":1,"prefix":"a/"})").c_str());
+  STRCMP_CONTAINS("spaces[1].prefix: 'a/' is the prefix of two",
+                  with(R"({"name":"b","keep_s":1,"prefix":"a/"})").c_str());
   STRCMP_CONTAINS("spaces[1].prefix: wants 1 to 200", with(R"({"name":"b","keep_s":1,"prefix":"a b"})").c_str());
   STRCMP_CONTAINS("spaces[1].prefix: wants a string", with(R"({"name":"b","keep_s":1,"prefix":3})").c_str());
   STRCMP_CONTAINS("spaces[1].cells: pool 'a' has 4", with(R"({"name":"b","keep_s":1,"pool":"a","cells":3})").c_str());
--- a/wax/aside.hpp
+++ b/wax/aside.hpp
@@ -36,8 +36,7 @@
 // A libev watcher that stops when its holder ends.
 class watch {
  public:
-  watch(struct ev_loop* l, int f, int events, std::function<void(int)> fn)
-      : base(l), fn(std::move(fn)) {
+  watch(struct ev_loop* l, int f, int events, std::function<void(int)> fn) : base(l), fn(std::move(fn)) {
     ev_io_init(&io, &watch::hit, f, events);
     io.data = this;
     if (events) ev_io_start(base, &io);
@@ -53,9 +52,7 @@
   }
 
  private:
-  static auto hit(struct ev_loop*, ev_io* w, int events) -> void {
-    static_cast<watch*>(w->data)->fn(events);
-  }
+  static auto hit(struct ev_loop*, ev_io* w, int events) -> void { static_cast<watch*>(w->data)->fn(events); }
   struct ev_loop* base;
   ev_io io{};
   std::function<void(int)> fn;
@@ -67,7 +64,10 @@
 class aside {
  public:
   aside(struct ev_loop* base, loop& l)
-      : hub(l), there(conduit()), back(conduit()), eye(base, back.first.get(), EV_READ, [this](int) { hear(); }),
+      : hub(l),
+        there(conduit()),
+        back(conduit()),
+        eye(base, back.first.get(), EV_READ, [this](int) { hear(); }),
         hand([in = there.first.get(), out = back.second.get()] { toil(in, out); }) {}
   aside(const aside&) = delete;
   auto operator=(const aside&) -> aside& = delete;
@@ -81,7 +81,8 @@
     p->work = std::move(work);
     under_way = p;
     hand_over(p.get());
-    while (!p->over) co_await done.wait(hub);
+    while (!p->over)
+      co_await done.wait(hub);
     co_return p->fault;
   }
 
--- a/wax/colleague.cpp
+++ b/wax/colleague.cpp
@@ -8,7 +8,8 @@
   auto body = pack(t);
   auto n = body.size();
   auto head = std::string(4, '\0');
-  for (auto i = 0U; i < 4; ++i) head[i] = static_cast<char>(n >> (8 * i));
+  for (auto i = 0U; i < 4; ++i)
+    head[i] = static_cast<char>(n >> (8 * i));
   return head + body;
 }
 
@@ -48,8 +49,7 @@
   way->close();
 }
 
-auto respond(wire_ptr w, std::int64_t id, tree t, std::function<task<tree>(wire_ptr, tree)> fn)
-    -> task<void> {
+auto respond(wire_ptr w, std::int64_t id, tree t, std::function<task<tree>(wire_ptr, tree)> fn) -> task<void> {
   auto out = branch{{"r", id}};
   try {
     auto v = co_await fn(w, std::move(t));
@@ -132,13 +132,11 @@
   }
 }
 
-colleague::colleague(host& hh, ways w) : h(hh), set(std::move(w)), home(hh) {
-  home.spawn(run());
-}
+colleague::colleague(host& hh, ways w) : h(hh), set(std::move(w)), home(hh) { home.spawn(run()); }
 
 auto colleague::run() -> task<void> {
   auto wait = set.beat;
-  auto turn = 0;  // odd ones go over a third locality, if any stands
+  auto turn = 0;        // odd ones go over a third locality, if any stands
   auto closed = false;  // the link that stood was closed: the next dial tells whether its process lives
   while (true) {
     auto via = std::string();
@@ -237,8 +235,7 @@
 }
 
 auto colleague::ask(tree t, tick until) -> task<tree> {
-  if (!on || !line || !line->live())
-    throw verdict("away", set.addr + " is not reached", ran::no, set.beat / msec);
+  if (!on || !line || !line->live()) throw verdict("away", set.addr + " is not reached", ran::no, set.beat / msec);
   auto id = ++count;
   auto s = std::make_shared<slot>();
   open[id] = s;
--- a/wax/colleague.hpp
+++ b/wax/colleague.hpp
@@ -36,10 +36,10 @@
 
 // What a process answers its colleagues.
 struct answers {
-  std::function<task<tree>(wire_ptr, tree)> ask;    // a request; the tree is the reply
+  std::function<task<tree>(wire_ptr, tree)> ask;           // a request; the tree is the reply
   std::function<void(const wire_ptr&, const tree&)> note;  // one-way, in order of sending
-  std::function<void(const wire_ptr&)> gone;        // the link ended
-  std::function<bool(const std::string&)> may_relay;  // is this the address of a member?
+  std::function<void(const wire_ptr&)> gone;               // the link ended
+  std::function<bool(const std::string&)> may_relay;       // is this the address of a member?
 };
 
 // Accepts colleagues' links and serves them until the nest ends.
--- a/wax/config.cpp
+++ b/wax/config.cpp
@@ -21,13 +21,11 @@
   std::function<std::string(config&, const std::string&)> set;  // empty: taken
 };
 
-auto whole(const std::string& s, std::int64_t low, std::int64_t high, std::int64_t& out)
-    -> std::string {
+auto whole(const std::string& s, std::int64_t low, std::int64_t high, std::int64_t& out) -> std::string {
   auto v = std::int64_t{0};
   auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), v);
   if (ec != std::errc() || end != s.data() + s.size()) return "'" + s + "' is no whole number";
-  if (v < low || v > high)
-    return s + " is outside " + std::to_string(low) + " to " + std::to_string(high);
+  if (v < low || v > high) return s + " is outside " + std::to_string(low) + " to " + std::to_string(high);
   out = v;
   return {};
 }
@@ -82,7 +80,8 @@
        [](config& c, const std::string& s) -> std::string {
          auto row = std::vector<std::string>();
          boost::split(row, s, boost::is_any_of(","));
-         if (s.empty() || row.size() > 3) return "wants one to three addresses, has " + std::to_string(s.empty() ? 0 : row.size());
+         if (s.empty() || row.size() > 3)
+           return "wants one to three addresses, has " + std::to_string(s.empty() ? 0 : row.size());
          for (const auto& a : row)
            if (!good_addr(a)) return "'" + a + "' is no IP:PORT";
          if (std::set<std::string>(row.begin(), row.end()).size() != row.size()) return "repeats an address";
@@ -90,24 +89,22 @@
          return {};
        }},
       {"beat_ms", "between signs of life", span(&config::beat, 10, 5000, msec)},
-      {"lose_ms", "silence after which a colleague counts as lost",
-       span(&config::lose, 100, 60000, msec)},
+      {"lose_ms", "silence after which a colleague counts as lost", span(&config::lose, 100, 60000, msec)},
       {"lease_ms", "how long a charter lease lasts", span(&config::lease, 100, 60000, msec)},
       {"budget_ms", "for one request inside the system", span(&config::budget, 50, 60000, msec)},
-      {"resend_s", "repeats of a publish are known at least so long",
-       span(&config::resend, 1, 3600, sec)},
+      {"resend_s", "repeats of a publish are known at least so long", span(&config::resend, 1, 3600, sec)},
       {"lag_ms", "replay lag above which a primary is slowed", span(&config::lag, 10, 60000, msec)},
       {"body_bytes", "most bytes of one message", span(&config::body, 64, 1 << 20, 1)},
-      {"buffer_bytes", "most bytes of one log buffer or slow reader",
-       span(&config::buffer, 4096, 1 << 28, 1)},
+      {"buffer_bytes", "most bytes of one log buffer or slow reader", span(&config::buffer, 4096, 1 << 28, 1)},
       {"links_most", "most downstream links", span(&config::links, 1, 100000, 1)},
-      {"drain_ms", "what a leaving forager leaves its links to end what is under way", span(&config::drain, 0, 60000, msec)},
+      {"drain_ms", "what a leaving forager leaves its links to end what is under way",
+       span(&config::drain, 0, 60000, msec)},
       {"grace_ms", "from SIGTERM to the process's end, at most", span(&config::grace, 100, 600000, msec)},
       {"presence_ms", "a count of subscribers is at most so old", span(&config::presence, 100, 600000, msec)},
-      {"keepalive_ms", "a downstream silent for three times as long may be let go", span(&config::keepalive, 100, 600000, msec)},
+      {"keepalive_ms", "a downstream silent for three times as long may be let go",
+       span(&config::keepalive, 100, 600000, msec)},
       {"found", "a blank disk may begin a new ledger: yes or no", flag(&config::found)},
-      {"slowing", "gradual slowing of a primary whose backup lags: yes or no",
-       flag(&config::slowing)},
+      {"slowing", "gradual slowing of a primary whose backup lags: yes or no", flag(&config::slowing)},
       {"drag_us", "replay time added to each entry, to try a slow backup", span(&config::drag, 0, 1000000, 1)},
       {"echo", "log lines to stderr too: yes or no", flag(&config::echo)},
   };
@@ -122,12 +119,11 @@
   auto ip = a.substr(0, at);
   auto port = std::int64_t{0};
   auto raw = in_addr();
-  return inet_pton(AF_INET, ip.c_str(), &raw) == 1 &&
-         whole(a.substr(at + 1), 1, 65535, port).empty();
+  return inet_pton(AF_INET, ip.c_str(), &raw) == 1 && whole(a.substr(at + 1), 1, 65535, port).empty();
 }
 
-auto read_config(const std::string& file, const std::map<std::string, std::string>& flags,
-                 const needs& n, std::vector<fault>& faults) -> config {
+auto read_config(const std::string& file, const std::map<std::string, std::string>& flags, const needs& n,
+                 std::vector<fault>& faults) -> config {
   auto c = config();
   auto given = std::map<std::string, std::string>();
   if (!file.empty()) {
@@ -135,22 +131,26 @@
       auto t = boost::property_tree::ptree();
       boost::property_tree::read_info(file, t);
       for (const auto& [k, v] : t) {
-        if (!v.empty()) faults.push_back({k, "holds a block, wants a value"});
-        else if (!given.emplace(k, v.data()).second) faults.push_back({k, "is given twice"});
+        if (!v.empty())
+          faults.push_back({k, "holds a block, wants a value"});
+        else if (!given.emplace(k, v.data()).second)
+          faults.push_back({k, "is given twice"});
       }
     } catch (const boost::property_tree::info_parser_error& e) {
       faults.push_back({"settings", e.message() + " at " + file + ":" + std::to_string(e.line())});
       return c;
     }
   }
-  for (const auto& [k, v] : flags) given[k] = v;
+  for (const auto& [k, v] : flags)
+    given[k] = v;
   for (const auto& k : keys()) {
     auto it = given.find(k.name);
     if (it == given.end()) continue;
     if (auto why = k.set(c, it->second); !why.empty()) faults.push_back({k.name, why});
     given.erase(it);
   }
-  for (const auto& [k, v] : given) faults.push_back({k, "is no key of the settings"});
+  for (const auto& [k, v] : given)
+    faults.push_back({k, "is no key of the settings"});
   auto need = [&](bool on, const std::string& val, const char* k) {
     auto named = std::any_of(faults.begin(), faults.end(), [&](auto& f) { return f.key == k; });
     if (on && val.empty() && !named) faults.push_back({k, "is missing"});
@@ -196,13 +196,14 @@
   auto ctx = context(poptGetContext(nullptr, argc, argv, opts.data(), 0), &poptFreeContext);
   poptSetOtherOptionHelp(ctx.get(), ("- " + about).c_str());
   auto wrong = std::vector<fault>();
-  if (auto r = poptGetNextOpt(ctx.get()); r < -1)
-    wrong.push_back({poptBadOption(ctx.get(), 0), poptStrerror(r)});
+  if (auto r = poptGetNextOpt(ctx.get()); r < -1) wrong.push_back({poptBadOption(ctx.get(), 0), poptStrerror(r)});
   if (const auto* left = poptGetArg(ctx.get())) wrong.push_back({left, "is no flag"});
   for (auto i = 0U; i < vals.size(); ++i) {
     if (!vals[i]) continue;
-    if (i == 0) file = vals[0];
-    else flags[keys()[i - 1].name] = vals[i];
+    if (i == 0)
+      file = vals[0];
+    else
+      flags[keys()[i - 1].name] = vals[i];
     free(vals[i]);
   }
   auto read = [=](std::vector<fault>& faults) {
--- a/wax/config.hpp
+++ b/wax/config.hpp
@@ -12,23 +12,23 @@
 struct config {
   std::string name, zone, addr, web, feed, data;
   std::vector<std::string> seeds;
-  tick beat = 100 * msec;    // between signs of life
-  tick lose = 1 * sec;       // silence after which a colleague counts as lost
-  tick lease = 1500 * msec;     // how long a charter lease lasts
-  tick budget = 1 * sec;     // for one request inside the system
-  tick resend = 10 * sec;    // repeats of a publish are known at least so long
-  tick lag = 1 * sec;        // replay lag above which the primary is slowed
-  std::int64_t body = 16 << 10;        // bytes of one message
-  std::int64_t buffer = 4 << 20;       // bytes of one log buffer or slow reader
-  std::int64_t links = 4000;           // links one forager holds
-  tick drain = 1 * sec;      // what a leaving forager leaves its links to end what is under way
-  tick grace = 4 * sec;      // from SIGTERM to the process's end, at most
-  tick presence = 5 * sec;   // a count of subscribers is at most so old
-  tick keepalive = 15 * sec; // a downstream silent for three times as long may be let go
-  bool found = true;                   // a blank disk may begin a new ledger
-  bool slowing = true;                 // gradual slowing of a primary
-  tick drag = 0;                       // replay time of one entry, for tests of a slow backup
-  bool echo = false;                   // log lines also to stderr
+  tick beat = 100 * msec;         // between signs of life
+  tick lose = 1 * sec;            // silence after which a colleague counts as lost
+  tick lease = 1500 * msec;       // how long a charter lease lasts
+  tick budget = 1 * sec;          // for one request inside the system
+  tick resend = 10 * sec;         // repeats of a publish are known at least so long
+  tick lag = 1 * sec;             // replay lag above which the primary is slowed
+  std::int64_t body = 16 << 10;   // bytes of one message
+  std::int64_t buffer = 4 << 20;  // bytes of one log buffer or slow reader
+  std::int64_t links = 4000;      // links one forager holds
+  tick drain = 1 * sec;           // what a leaving forager leaves its links to end what is under way
+  tick grace = 4 * sec;           // from SIGTERM to the process's end, at most
+  tick presence = 5 * sec;        // a count of subscribers is at most so old
+  tick keepalive = 15 * sec;      // a downstream silent for three times as long may be let go
+  bool found = true;              // a blank disk may begin a new ledger
+  bool slowing = true;            // gradual slowing of a primary
+  tick drag = 0;                  // replay time of one entry, for tests of a slow backup
+  bool echo = false;              // log lines also to stderr
 };
 
 struct fault {
@@ -41,8 +41,8 @@
 };
 
 // Reads `file` (may be empty) and then the flags; every fault is named.
-auto read_config(const std::string& file, const std::map<std::string, std::string>& flags,
-                 const needs& n, std::vector<fault>& faults) -> config;
+auto read_config(const std::string& file, const std::map<std::string, std::string>& flags, const needs& n,
+                 std::vector<fault>& faults) -> config;
 
 // Where a daemon's settings come from (design 3.6).
 struct origin {
--- a/wax/config_test.cpp
+++ b/wax/config_test.cpp
@@ -1,6 +1,7 @@
 #include "wax/config.hpp"
 
 #include <arpa/inet.h>
+#include <popt.h>
 #include <boost/algorithm/string.hpp>
 #include <boost/property_tree/info_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
@@ -8,7 +9,6 @@
 #include <functional>
 #include <iostream>
 #include <memory>
-#include <popt.h>
 #include <set>
 
 // After all others: it redefines new.
@@ -17,19 +17,27 @@
 TEST_GROUP(config_keys){};
 TEST(config_keys, every_fault_is_named) {
   auto faults = std::vector<hive::fault>();
-  hive::read_config("", {{"name", "a b"}, {"addr", "1.2.3:4"}, {"seeds", "127.0.0.1:1,127.0.0.1:1"},
-                         {"beat_ms", "soon"}, {"shape", "round"}},
+  hive::read_config("",
+                    {{"name", "a b"},
+                     {"addr", "1.2.3:4"},
+                     {"seeds", "127.0.0.1:1,127.0.0.1:1"},
+                     {"beat_ms", "soon"},
+                     {"shape", "round"}},
                     {}, faults);
   auto named = std::string();
-  for (auto& f : faults) named += f.key + " ";
+  for (auto& f : faults)
+    named += f.key + " ";
   STRCMP_EQUAL("name addr seeds beat_ms shape zone ", named.c_str());
 }
 TEST(config_keys, good_ones_are_taken) {
   auto faults = std::vector<hive::fault>();
-  auto c = hive::read_config(
-      "", {{"name", "q1"}, {"zone", "z1"}, {"addr", "127.0.0.1:71"}, {"lose_ms", "3000"},
-           {"seeds", "127.0.0.1:71,127.0.0.1:72,127.0.0.1:73"}},
-      {}, faults);
+  auto c = hive::read_config("",
+                             {{"name", "q1"},
+                              {"zone", "z1"},
+                              {"addr", "127.0.0.1:71"},
+                              {"lose_ms", "3000"},
+                              {"seeds", "127.0.0.1:71,127.0.0.1:72,127.0.0.1:73"}},
+                             {}, faults);
   CHECK(faults.empty());
   LONGS_EQUAL(3 * hive::sec, c.lose);
   LONGS_EQUAL(3, c.seeds.size());
@@ -45,13 +53,16 @@
   STRCMP_EQUAL("", faults_of("127.0.0.1:71,127.0.0.1:72").c_str());
   STRCMP_EQUAL("", faults_of("127.0.0.1:71,127.0.0.1:72,127.0.0.1:73").c_str());
   STRCMP_EQUAL("seeds: wants one to three addresses, has 0", faults_of("").c_str());
-  STRCMP_EQUAL("seeds: wants one to three addresses, has 4", faults_of("127.0.0.1:71,127.0.0.1:72,127.0.0.1:73,127.0.0.1:74").c_str());
+  STRCMP_EQUAL("seeds: wants one to three addresses, has 4",
+               faults_of("127.0.0.1:71,127.0.0.1:72,127.0.0.1:73,127.0.0.1:74").c_str());
   STRCMP_EQUAL("seeds: repeats an address", faults_of("127.0.0.1:71,127.0.0.1:71").c_str());
 }
 TEST(config_keys, the_bounds_of_leaving_and_of_links_are_keys) {
   auto faults = std::vector<hive::fault>();
-  auto keys = std::map<std::string, std::string>{{"name", "f1"}, {"zone", "z1"}, {"addr", "127.0.0.1:71"}, {"seeds", "127.0.0.1:71"},
-                                                 {"drain_ms", "1500"}, {"grace_ms", "3000"}, {"presence_ms", "4000"}, {"keepalive_ms", "2000"}, {"found", "no"}};
+  auto keys = std::map<std::string, std::string>{
+      {"name", "f1"},       {"zone", "z1"},       {"addr", "127.0.0.1:71"}, {"seeds", "127.0.0.1:71"},
+      {"drain_ms", "1500"}, {"grace_ms", "3000"}, {"presence_ms", "4000"},  {"keepalive_ms", "2000"},
+      {"found", "no"}};
   auto c = hive::read_config("", keys, {}, faults);
   CHECK(faults.empty());
   LONGS_EQUAL(1500 * hive::msec, c.drain);
@@ -69,7 +80,8 @@
   b.lag = 5;
   b.seeds = {"127.0.0.1:1"};
   auto named = std::string();
-  for (const auto& f : hive::fixed_faults(a, b, false)) named += f.key + " ";
+  for (const auto& f : hive::fixed_faults(a, b, false))
+    named += f.key + " ";
   STRCMP_EQUAL("zone seeds ", named.c_str());
   LONGS_EQUAL(1, hive::fixed_faults(a, b, true).size());
 }
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -37,11 +37,12 @@
 auto fresh_sock() -> int { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
 constexpr auto turn_most = std::size_t{64} << 10;  // so much does not wait for the end of the turn
-constexpr auto in_most = std::size_t{16} << 20;  // twice the largest frame
+constexpr auto in_most = std::size_t{16} << 20;    // twice the largest frame
 
 class ev_link : public link, public corked {
  public:
-  ev_link(evhost& h, fd s) : link(h), own(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int e) { stirred(e); }) {
+  ev_link(evhost& h, fd s)
+      : link(h), own(h), sock(std::move(s)), eye(h.base, sock.get(), EV_READ, [this](int e) { stirred(e); }) {
     auto one = 1;
     setsockopt(sock.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   }
@@ -53,8 +54,10 @@
     auto waits = !out.empty() && !is_linked();  // the socket is full: it says when it takes more
     out.append(bytes);
     if (waits) return;
-    if (out.size() >= turn_most) flush();
-    else own.cork(*this);
+    if (out.size() >= turn_most)
+      flush();
+    else
+      own.cork(*this);
   }
   auto pour() -> void override { flush(); }
   auto close() -> void override {
@@ -132,8 +135,7 @@
     for (auto i = 0; i < 64; ++i) {
       auto peer = sockaddr_in();
       auto len = socklen_t{sizeof peer};
-      auto f = ::accept4(sock.get(), reinterpret_cast<sockaddr*>(&peer), &len,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+      auto f = ::accept4(sock.get(), reinterpret_cast<sockaddr*>(&peer), &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (f < 0) break;
       auto l = std::make_shared<ev_link>(host_, fd(f));
       l->from = from_sock(peer);
@@ -157,13 +159,15 @@
   auto out = std::unique_ptr<leveldb::DB>(raw);
   // Names that opening has made or removed last only after a sync of their folder.
   auto dir = fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (dir.get() < 0 || ::fsync(dir.get()) != 0) throw verdict("disk", "data folder " + folder + ": " + std::strerror(errno));
+  if (dir.get() < 0 || ::fsync(dir.get()) != 0)
+    throw verdict("disk", "data folder " + folder + ": " + std::strerror(errno));
   return out;
 }
 
 class level_store : public store {
  public:
-  level_store(struct ev_loop* base, loop& l, std::string f) : store(l), folder(std::move(f)), db(open_files(folder)), side(base, l) {}
+  level_store(struct ev_loop* base, loop& l, std::string f)
+      : store(l), folder(std::move(f)), db(open_files(folder)), side(base, l) {}
   ~level_store() override { stop(); }
   auto get(const std::string& key) -> std::optional<std::string> override {
     auto opt = leveldb::ReadOptions();
@@ -174,8 +178,8 @@
     if (!s.ok()) throw bad_bytes(s.ToString());
     return out;
   }
-  auto scan(const std::string& head,
-            const std::function<void(const std::string&, const std::string&)>& fn) -> void override {
+  auto scan(const std::string& head, const std::function<void(const std::string&, const std::string&)>& fn)
+      -> void override {
     auto opt = leveldb::ReadOptions();
     opt.verify_checksums = true;
     auto it = std::unique_ptr<leveldb::Iterator>(there().NewIterator(opt));
@@ -189,8 +193,10 @@
     if (!db) co_await reopen();
     auto b = std::make_shared<leveldb::WriteBatch>();
     for (const auto& d : row) {
-      if (d.cut) b->Delete(d.key);
-      else b->Put(d.key, d.val);
+      if (d.cut)
+        b->Delete(d.key);
+      else
+        b->Put(d.key, d.val);
     }
     // Not written inside the co_await: g++ 12 ends a lambda's captures twice there.
     auto work = std::function<std::string()>([b, d = db] {
@@ -229,7 +235,7 @@
   }
   std::string folder;
   std::shared_ptr<leveldb::DB> db;  // none: closed after a fault
-  aside side;  // ends, with what it has under way, before the files close
+  aside side;                       // ends, with what it has under way, before the files close
 };
 
 }  // namespace
@@ -242,10 +248,27 @@
 evhost::evhost(const std::string& data) : base(ev_default_loop(0)), own(std::make_unique<guts>()) {
   ::signal(SIGPIPE, SIG_IGN);
   if (!data.empty()) db = std::make_unique<level_store>(base, *this, data);  // may throw: nothing is watched yet
-  ev_timer_init(&own->clock, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);
+  ev_timer_init(
+      &own->clock, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);
   auto on = [this](ev_signal& s, int n, bool hup) {
-    if (hup) ev_signal_init(&s, [](struct ev_loop*, ev_signal* w, int) { if (auto& f = static_cast<evhost*>(w->data)->on_hup) f(); }, n);
-    else ev_signal_init(&s, [](struct ev_loop*, ev_signal* w, int) { auto* h = static_cast<evhost*>(w->data); if (h->on_term) h->on_term(); else h->end(); }, n);
+    if (hup)
+      ev_signal_init(
+          &s,
+          [](struct ev_loop*, ev_signal* w, int) {
+            if (auto& f = static_cast<evhost*>(w->data)->on_hup) f();
+          },
+          n);
+    else
+      ev_signal_init(
+          &s,
+          [](struct ev_loop*, ev_signal* w, int) {
+            auto* h = static_cast<evhost*>(w->data);
+            if (h->on_term)
+              h->on_term();
+            else
+              h->end();
+          },
+          n);
     s.data = this;
     ev_signal_start(base, &s);
   };
@@ -322,7 +345,8 @@
 auto evhost::run() -> void {
   while (!over) {
     auto work = 0;
-    while (work < 512 && !over && step()) ++work;
+    while (work < 512 && !over && step())
+      ++work;
     if (over) break;
     pour();
     auto at = next();
--- a/wax/evhost.hpp
+++ b/wax/evhost.hpp
@@ -15,8 +15,7 @@
 
 // A link with bytes that wait for the end of the loop's turn: what is sent within one turn
 // goes out with one system call (design 3.1).
-class corked : public boost::intrusive::list_base_hook<
-                   boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+class corked : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   virtual ~corked() = default;
   virtual auto pour() -> void = 0;
--- a/wax/evhost_test.cpp
+++ b/wax/evhost_test.cpp
@@ -1,18 +1,18 @@
 #include "wax/evhost.hpp"
 
 #include <arpa/inet.h>
-#include <array>
-#include <csignal>
-#include <cstring>
 #include <fcntl.h>
-#include <filesystem>
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
 #include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <thread>
 #include <unistd.h>
+#include <array>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <thread>
 
 #include "wax/aside.hpp"
 #include "wax/ring.hpp"
@@ -43,7 +43,8 @@
     hh.end();
   }(h, side, in.get(), said));
   home.spawn([](evhost& hh, int f) -> task<void> {
-    for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);  // turns of the loop, after the work was handed over
+    for (auto i = 0; i < 3; ++i)
+      co_await nap(hh, 0);  // turns of the loop, after the work was handed over
     auto n = ::write(f, "x", 1);
     (void)n;
   }(h, out.get()));
@@ -63,7 +64,8 @@
       co_await hh.disk()->sync();
     }(h));
     home.spawn([](evhost& hh, std::unique_ptr<nest>& other) -> task<void> {
-      for (auto i = 0; i < 3; ++i) co_await nap(hh, 0);
+      for (auto i = 0; i < 3; ++i)
+        co_await nap(hh, 0);
       other.reset();
       hh.disk()->put("b", "2");
       co_await hh.disk()->sync();
@@ -98,7 +100,8 @@
   }
   std::filesystem::remove_all(dir);
 }
-// A disk that takes no more and later does again: syncs fail meanwhile, nothing put is lost, and no end of the process is needed.
+// A disk that takes no more and later does again: syncs fail meanwhile, nothing put is lost, and no end of the process
+// is needed.
 TEST(real_disk, a_full_disk_is_written_on_once_there_is_room) {
   char dir[] = "/tmp/hive-test-XXXXXX";
   CHECK(::mkdtemp(dir) != nullptr);
@@ -127,7 +130,8 @@
       }
       co_await rest(hh, 600 * msec);
       ::setrlimit(RLIMIT_FSIZE, &limit);
-      while (d.broken()) co_await rest(hh, 50 * msec);
+      while (d.broken())
+        co_await rest(hh, 50 * msec);
       d.put("c", "3");
       co_await d.sync();
       out += "and again";
@@ -140,7 +144,8 @@
   {
     auto h = evhost(dir);
     auto keys = std::string();
-    h.disk()->scan("", [&](const std::string& k, const std::string& v) { keys += k + ":" + std::to_string(v.size()) + " "; });
+    h.disk()->scan(
+        "", [&](const std::string& k, const std::string& v) { keys += k + ":" + std::to_string(v.size()) + " "; });
     STRCMP_EQUAL("a:1 b0:8000 b1:8000 c:1 ", keys.c_str());
   }
   std::filesystem::remove_all(dir);
@@ -179,7 +184,8 @@
   home.spawn([](evhost& hh, std::string to, std::uint64_t& n) -> task<void> {
     auto way = co_await hh.dial(to, hh.now() + sec);
     if (!way) co_return hh.end();
-    for (auto i = 0; i < 100; ++i) way->send(std::to_string(i % 10));
+    for (auto i = 0; i < 100; ++i)
+      way->send(std::to_string(i % 10));
     co_await rest(hh, 20 * msec);
     n = hh.pours;
     way->send("x");
--- a/wax/host.cpp
+++ b/wax/host.cpp
@@ -25,7 +25,8 @@
 auto store::flush() -> task<void> {
   while (true) {
     // What failed stays first: nothing later may be on the disk without it.
-    for (auto& d : next) held.push_back(std::move(d));
+    for (auto& d : next)
+      held.push_back(std::move(d));
     next.clear();
     auto upto = asked;
     bytes += size;
--- a/wax/host.hpp
+++ b/wax/host.hpp
@@ -19,10 +19,10 @@
   link(const link&) = delete;
   auto operator=(const link&) -> link& = delete;
   virtual ~link() = default;
-  virtual auto send(std::string_view bytes) -> void = 0;  // queued, sent at once where it fits
-  virtual auto close() -> void = 0;                       // what is queued still goes out
+  virtual auto send(std::string_view bytes) -> void = 0;       // queued, sent at once where it fits
+  virtual auto close() -> void = 0;                            // what is queued still goes out
   [[nodiscard]] virtual auto owed() const -> std::size_t = 0;  // queued, not yet taken by the net
-  virtual auto eaten() -> void {}                         // the reader made room
+  virtual auto eaten() -> void {}                              // the reader made room
 
   // Waits for more bytes than are in `in`; false once the stream has ended.
   auto more(tick until = never) -> task<bool> {
@@ -66,8 +66,7 @@
   auto operator=(const store&) -> store& = delete;
   virtual ~store() = default;
   virtual auto get(const std::string& key) -> std::optional<std::string> = 0;
-  virtual auto scan(const std::string& head,
-                    const std::function<void(const std::string&, const std::string&)>& fn)
+  virtual auto scan(const std::string& head, const std::function<void(const std::string&, const std::string&)>& fn)
       -> void = 0;
   auto put(std::string key, std::string val) -> void {
     size += key.size() + val.size();
@@ -78,8 +77,8 @@
     next.push_back({std::move(key), {}, true});
     ++asked;
   }
-  // Returns when all that was put or cut before the call is durable. Throws verdict("disk") once a write has failed; what
-  // it held stays first in line and is written again until the disk takes it, then syncs succeed again.
+  // Returns when all that was put or cut before the call is durable. Throws verdict("disk") once a write has failed;
+  // what it held stays first in line and is written again until the disk takes it, then syncs succeed again.
   auto sync() -> task<void>;
   [[nodiscard]] auto broken() const -> bool { return bad; }
   std::uint64_t syncs = 0, bytes = 0;
@@ -114,9 +113,7 @@
   virtual auto disk() -> store* = 0;  // null: this machine has none
   auto below(std::uint64_t n) -> std::uint64_t { return n ? chance() % n : 0; }
   // A span scattered around its middle, so that many do not act at once.
-  auto spread(tick span) -> tick {
-    return span / 2 + static_cast<tick>(below(static_cast<std::uint64_t>(span) + 1));
-  }
+  auto spread(tick span) -> tick { return span / 2 + static_cast<tick>(below(static_cast<std::uint64_t>(span) + 1)); }
 };
 
 }  // namespace hive
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -1,12 +1,12 @@
 #include "wax/http.hpp"
 
+#include <algorithm>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <algorithm>
 #include <sstream>
 
 #include "wax/ring.hpp"
@@ -202,11 +202,15 @@
       auto k = std::string(kv.key());
       auto word = std::all_of(k.begin(), k.end(), [](unsigned char c) { return std::isalpha(c) || c == '_'; });
       if (k == "beliefs") continue;
-      if (word) flat(kv.value(), name + "_" + k, label, out);
-      else flat(kv.value(), name, label + (label.empty() ? "" : ",") + (label.empty() ? "of" : "at") + "=\"" + k + "\"", out);
+      if (word)
+        flat(kv.value(), name + "_" + k, label, out);
+      else
+        flat(kv.value(), name, label + (label.empty() ? "" : ",") + (label.empty() ? "of" : "at") + "=\"" + k + "\"",
+             out);
     }
   } else if (t.is_number() || t.is_bool()) {
-    out += name + (label.empty() ? "" : "{" + label + "}") + " " + (t.is_bool() ? (t.get_bool() ? "1" : "0") : text(t)) + "\n";
+    out += name + (label.empty() ? "" : "{" + label + "}") + " " +
+           (t.is_bool() ? (t.get_bool() ? "1" : "0") : text(t)) + "\n";
   }
 }
 }  // namespace
@@ -226,7 +230,8 @@
   if (v.back_ms >= 0) return 503;
   if (v.code == "denied") return 403;
   if (v.code == "not_found") return 404;
-  if (v.code == "stale" || v.code == "taken" || v.code == "below" || v.code == "gone" || v.code == "too_few") return 409;
+  if (v.code == "stale" || v.code == "taken" || v.code == "below" || v.code == "gone" || v.code == "too_few")
+    return 409;
   if (v.code == "too_long") return 413;
   return 400;
 }
@@ -238,8 +243,7 @@
   }
 }
 
-auto fetch(host& h, std::string addr, std::string verb, std::string path, std::string body,
-           tick until) -> task<reply> {
+auto fetch(host& h, std::string addr, std::string verb, std::string path, std::string body, tick until) -> task<reply> {
   auto out = reply();
   auto l = co_await h.dial(addr, until);
   if (!l) co_return out;
--- a/wax/http.hpp
+++ b/wax/http.hpp
@@ -18,7 +18,7 @@
 struct response {
   int code = 200;
   tree body;
-  std::string plain;  // sent as it is in place of the body, if not empty
+  std::string plain;                 // sent as it is in place of the body, if not empty
   std::string media = "text/plain";  // what `plain` is
 };
 
@@ -46,8 +46,7 @@
   tree body;
   std::string plain;
 };
-auto fetch(host& h, std::string addr, std::string verb, std::string path, std::string body,
-           tick until) -> task<reply>;
+auto fetch(host& h, std::string addr, std::string verb, std::string path, std::string body, tick until) -> task<reply>;
 auto open_link(host& h, std::string addr, tick until) -> task<std::shared_ptr<lines>>;
 
 // The pages that every daemon has: /healthz, /status, /metrics, /ring. None: another page.
--- a/wax/loop.hpp
+++ b/wax/loop.hpp
@@ -20,8 +20,7 @@
 
 // One suspended coroutine. It hangs in at most one list (a signal's or the
 // loop's ready list) and at most one timer; its end takes it out of both.
-class waker : public boost::intrusive::list_base_hook<
-                  boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+class waker : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   explicit waker(loop& l) : hub(l) {}
   waker(const waker&) = delete;
@@ -78,7 +77,8 @@
  private:
   friend class waker;
   auto ring() -> void {
-    while (!alarms.empty() && alarms.begin()->first <= now()) alarms.begin()->second->wake(true);
+    while (!alarms.empty() && alarms.begin()->first <= now())
+      alarms.begin()->second->wake(true);
   }
   waker_list ready;
   std::multimap<tick, waker*> alarms;
@@ -142,7 +142,8 @@
   };
   auto wait(loop& l, tick until = never) -> pause { return {l, row, until}; }
   auto wake() -> void {
-    while (!row.empty()) row.front().wake(false);
+    while (!row.empty())
+      row.front().wake(false);
   }
 
  private:
--- a/wax/main.hpp
+++ b/wax/main.hpp
@@ -16,7 +16,8 @@
 inline auto file_mark(const std::string& file) -> std::string {
   auto st = (struct stat){};
   if (file.empty() || ::stat(file.c_str(), &st) != 0) return {};
-  return std::to_string(st.st_mtim.tv_sec) + "." + std::to_string(st.st_mtim.tv_nsec) + "." + std::to_string(st.st_size) + "." + std::to_string(st.st_ino);
+  return std::to_string(st.st_mtim.tv_sec) + "." + std::to_string(st.st_mtim.tv_nsec) + "." +
+         std::to_string(st.st_size) + "." + std::to_string(st.st_ino);
 }
 
 // `doors`, if given, is called once the daemon stands; what it spawns ends before the daemon.
@@ -25,7 +26,8 @@
   auto first = file_mark(from.file);  // before it is read: what is written meanwhile counts as a change
   auto wrong = std::vector<fault>();
   auto set = from.read(wrong);
-  for (const auto& f : wrong) std::cerr << f.key << ": " << f.why << '\n';
+  for (const auto& f : wrong)
+    std::cerr << f.key << ": " << f.why << '\n';
   if (!wrong.empty()) return 2;
   if (!set.data.empty()) ::mkdir(set.data.c_str(), 0755);
   ring_setup(4000, set.data, set.echo);
@@ -45,7 +47,8 @@
       auto faults = std::vector<fault>();
       auto next = from.read(faults);
       if (faults.empty()) faults = fixed_faults(set, next, from.seeds_drift);
-      for (const auto& f : faults) log(grade::warn, set.name, "settings not taken: " + f.key + ": " + f.why);
+      for (const auto& f : faults)
+        log(grade::warn, set.name, "settings not taken: " + f.key + ": " + f.why);
       if (!faults.empty()) return;
       next.seeds = set.seeds;
       set = next;
--- a/wax/main_test.cpp
+++ b/wax/main_test.cpp
@@ -74,24 +74,28 @@
       dd.set.lag = 7;
       dd.set.seeds = {"127.0.0.1:2"};  // drifts: no fault, not taken up
       dd.touch("other bytes");
-      while (larva::lags.empty()) co_await rest(hh, 50 * msec);
+      while (larva::lags.empty())
+        co_await rest(hh, 50 * msec);
       seen.push_back(larva::lags.size());
       STRCMP_EQUAL("127.0.0.1:1", larva::last->set.seeds.at(0).c_str());
       dd.set.lag = 8;
       dd.faults = {{"lag_ms", "soon is no whole number"}};
       auto had = dd.reads;
       ::kill(::getpid(), SIGHUP);
-      while (dd.reads == had) co_await rest(hh, 10 * msec);
+      while (dd.reads == had)
+        co_await rest(hh, 10 * msec);
       seen.push_back(larva::lags.size());
       dd.faults.clear();
       dd.set.zone = "z9";  // cannot change while running
       had = dd.reads;
       ::kill(::getpid(), SIGHUP);
-      while (dd.reads == had) co_await rest(hh, 10 * msec);
+      while (dd.reads == had)
+        co_await rest(hh, 10 * msec);
       seen.push_back(larva::lags.size());
       dd.set.zone.clear();
       ::kill(::getpid(), SIGHUP);
-      while (larva::lags.size() < 2) co_await rest(hh, 10 * msec);
+      while (larva::lags.size() < 2)
+        co_await rest(hh, 10 * msec);
       ::kill(::getpid(), SIGTERM);
     }(h, d, row));
   });
--- a/wax/ring.cpp
+++ b/wax/ring.cpp
@@ -21,8 +21,7 @@
 namespace bl = boost::log;
 
 auto real_now() -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
@@ -44,7 +43,8 @@
   auto consume(const bl::record_view&, const string_type& row) -> void {
     auto& r = ring();
     r.rows.push_back(row);
-    while (r.rows.size() > r.most) r.rows.pop_front();
+    while (r.rows.size() > r.most)
+      r.rows.pop_front();
     if (r.echo) std::cerr << row + '\n';  // one write a line
   }
 };
@@ -69,13 +69,13 @@
 
 auto log(grade g, const std::string& who, const std::string& what) -> void {
   static const char* const names[] = {"fine", "note", "warn", "grave"};
-  BOOST_LOG_SEV(source(), g) << stamp(ring().now()) << ' ' << names[static_cast<int>(g)] << ' '
-                             << who << ": " << what;
+  BOOST_LOG_SEV(source(), g) << stamp(ring().now()) << ' ' << names[static_cast<int>(g)] << ' ' << who << ": " << what;
 }
 
 auto ring_text() -> std::string {
   auto out = std::string();
-  for (const auto& row : ring().rows) out += row + "\n";
+  for (const auto& row : ring().rows)
+    out += row + "\n";
   return out;
 }
 
--- a/wax/task.hpp
+++ b/wax/task.hpp
@@ -150,7 +150,8 @@
     more.wake();
   }
   auto pop(loop& l) -> task<T> {
-    while (row.empty()) co_await more.wait(l);
+    while (row.empty())
+      co_await more.wait(l);
     auto v = std::move(row.front());
     row.pop_front();
     co_return v;
--- a/wax/torn_tail_test.cpp
+++ b/wax/torn_tail_test.cpp
@@ -29,7 +29,8 @@
     auto db = std::unique_ptr<leveldb::DB>(raw);
     auto sure = leveldb::WriteOptions();
     sure.sync = true;
-    for (auto i = 0; i < 5; ++i) CHECK(db->Put(sure, "k" + std::to_string(i), std::string(each, static_cast<char>('a' + i))).ok());
+    for (auto i = 0; i < 5; ++i)
+      CHECK(db->Put(sure, "k" + std::to_string(i), std::string(each, static_cast<char>('a' + i))).ok());
     for (const auto& e : fs::directory_iterator(dir))
       if (e.path().extension() == ".log") file = e.path();
   }
@@ -73,8 +74,12 @@
   for (auto each : {std::size_t{500}, std::size_t{100000}})
     for (const auto& spoil : {std::function<void(std::string&)>([](auto& b) { b[b.size() - 100] = 'Z'; }),
                               std::function<void(std::string&)>([](auto& b) { b.resize(b.size() - 200); }),
-                              std::function<void(std::string&)>([&](auto& b) { std::fill(b.end() - static_cast<std::ptrdiff_t>(each / 2), b.end(), '\0'); }),
-                              std::function<void(std::string&)>([&](auto& b) { std::fill(b.end() - static_cast<std::ptrdiff_t>(each), b.end() - 50, '\0'); })}) {
+                              std::function<void(std::string&)>([&](auto& b) {
+                                std::fill(b.end() - static_cast<std::ptrdiff_t>(each / 2), b.end(), '\0');
+                              }),
+                              std::function<void(std::string&)>([&](auto& b) {
+                                std::fill(b.end() - static_cast<std::ptrdiff_t>(each), b.end() - 50, '\0');
+                              })}) {
       auto f = folder(each);
       f.spoil(spoil);
       STRCMP_EQUAL("k0 k1 k2 k3 ", f.keys().c_str());
--- a/wax/tree.cpp
+++ b/wax/tree.cpp
@@ -15,23 +15,32 @@
   unsigned char buf[16];
   auto add = [&](std::size_t n) { out.append(reinterpret_cast<char*>(buf), n); };
   switch (t.kind()) {
-    case boost::json::kind::null: add(cbor_encode_null(buf, sizeof buf)); break;
-    case boost::json::kind::bool_: add(cbor_encode_bool(t.get_bool(), buf, sizeof buf)); break;
+    case boost::json::kind::null:
+      add(cbor_encode_null(buf, sizeof buf));
+      break;
+    case boost::json::kind::bool_:
+      add(cbor_encode_bool(t.get_bool(), buf, sizeof buf));
+      break;
     case boost::json::kind::int64:
       if (auto v = t.get_int64(); v >= 0)
         add(cbor_encode_uint(static_cast<std::uint64_t>(v), buf, sizeof buf));
       else
         add(cbor_encode_negint(static_cast<std::uint64_t>(-(v + 1)), buf, sizeof buf));
       break;
-    case boost::json::kind::uint64: add(cbor_encode_uint(t.get_uint64(), buf, sizeof buf)); break;
-    case boost::json::kind::double_: add(cbor_encode_double(t.get_double(), buf, sizeof buf)); break;
+    case boost::json::kind::uint64:
+      add(cbor_encode_uint(t.get_uint64(), buf, sizeof buf));
+      break;
+    case boost::json::kind::double_:
+      add(cbor_encode_double(t.get_double(), buf, sizeof buf));
+      break;
     case boost::json::kind::string:
       add(cbor_encode_string_start(t.get_string().size(), buf, sizeof buf));
       out.append(t.get_string().data(), t.get_string().size());
       break;
     case boost::json::kind::array:
       add(cbor_encode_array_start(t.get_array().size(), buf, sizeof buf));
-      for (const auto& v : t.get_array()) put(out, v);
+      for (const auto& v : t.get_array())
+        put(out, v);
       break;
     case boost::json::kind::object:
       add(cbor_encode_map_start(t.get_object().size(), buf, sizeof buf));
@@ -91,15 +100,18 @@
     return &row.back();
   }
   auto settle() -> void {
-    while (!path.empty() && path.back().left == 0 && !path.back().keyed) path.pop_back();
+    while (!path.empty() && path.back().left == 0 && !path.back().keyed)
+      path.pop_back();
   }
   auto open(tree v, std::size_t n, bool map) -> void {
     if (path.size() >= deepest) {
       fault = "nested too deep";
       return;
     }
-    if (auto* at = put(std::move(v)); at && n) path.push_back({at, n, map, {}, false});
-    else if (!at && fault.empty()) fault = "a container as key";
+    if (auto* at = put(std::move(v)); at && n)
+      path.push_back({at, n, map, {}, false});
+    else if (!at && fault.empty())
+      fault = "a container as key";
   }
 };
 
@@ -111,15 +123,19 @@
   h.uint16 = [](void* p, std::uint16_t v) { self(p).put(std::int64_t{v}); };
   h.uint32 = [](void* p, std::uint32_t v) { self(p).put(std::int64_t{v}); };
   h.uint64 = [](void* p, std::uint64_t v) {
-    if (v <= INT64_MAX) self(p).put(static_cast<std::int64_t>(v));
-    else self(p).put(v);
+    if (v <= INT64_MAX)
+      self(p).put(static_cast<std::int64_t>(v));
+    else
+      self(p).put(v);
   };
   h.negint8 = [](void* p, std::uint8_t v) { self(p).put(-1 - std::int64_t{v}); };
   h.negint16 = [](void* p, std::uint16_t v) { self(p).put(-1 - std::int64_t{v}); };
   h.negint32 = [](void* p, std::uint32_t v) { self(p).put(-1 - std::int64_t{v}); };
   h.negint64 = [](void* p, std::uint64_t v) {
-    if (v <= INT64_MAX) self(p).put(-1 - static_cast<std::int64_t>(v));
-    else self(p).fault = "a number out of range";
+    if (v <= INT64_MAX)
+      self(p).put(-1 - static_cast<std::int64_t>(v));
+    else
+      self(p).fault = "a number out of range";
   };
   h.string = [](void* p, cbor_data d, std::size_t n) {
     self(p).put(tree(boost::json::string_view(reinterpret_cast<const char*>(d), n)));
@@ -170,7 +186,8 @@
   crc.process_bytes(body.data(), body.size());
   auto sum = crc.checksum();
   auto out = std::string(4, '\0');
-  for (auto i = 0U; i < 4; ++i) out[i] = static_cast<char>(sum >> (8 * i));
+  for (auto i = 0U; i < 4; ++i)
+    out[i] = static_cast<char>(sum >> (8 * i));
   return out + body;
 }
 
--- a/wax/tree.hpp
+++ b/wax/tree.hpp
@@ -17,9 +17,9 @@
 };
 
 auto pack(const tree& t) -> std::string;
-auto unpack(std::string_view bytes) -> tree;       // throws bad_bytes
-auto seal(const tree& t) -> std::string;           // pack with a checksum before it
-auto unseal(std::string_view bytes) -> tree;       // throws bad_bytes if altered
+auto unpack(std::string_view bytes) -> tree;  // throws bad_bytes
+auto seal(const tree& t) -> std::string;      // pack with a checksum before it
+auto unseal(std::string_view bytes) -> tree;  // throws bad_bytes if altered
 
 // Reads of fields that a colleague must have sent; throw bad_bytes otherwise.
 auto num(const tree& t, std::string_view key) -> std::int64_t;
--- a/wax/tree_test.cpp
+++ b/wax/tree_test.cpp
@@ -1,7 +1,7 @@
 #include "wax/tree.hpp"
 
-#include <boost/crc.hpp>
 #include <cbor.h>
+#include <boost/crc.hpp>
 #include <cmath>
 #include <vector>
 
@@ -23,7 +23,8 @@
 }
 TEST(tree_bytes, torn_or_foreign_is_refused) {
   auto s = hive::pack(boost::json::parse(R"({"k":[1,2,3]})"));
-  for (auto n = 0U; n < s.size(); ++n) CHECK_THROWS(hive::bad_bytes, hive::unpack(s.substr(0, n)));
+  for (auto n = 0U; n < s.size(); ++n)
+    CHECK_THROWS(hive::bad_bytes, hive::unpack(s.substr(0, n)));
   CHECK_THROWS(hive::bad_bytes, hive::unpack(s + s));
   CHECK_THROWS(hive::bad_bytes, hive::unpack("\xa2\x61k\x01\x61k\x02"));
   CHECK_THROWS(hive::bad_bytes, hive::unpack(std::string(40, '\x81')));
--- a/wax/verdict.hpp
+++ b/wax/verdict.hpp
@@ -21,7 +21,9 @@
   [[nodiscard]] auto what() const noexcept -> const char* override { return why.c_str(); }
 
   [[nodiscard]] auto to_tree() const -> tree {
-    auto t = branch{{"verdict", run == ran::maybe ? "unclear" : run == ran::yes ? "done" : "refused"},
+    auto t = branch{{"verdict", run == ran::maybe ? "unclear"
+                                : run == ran::yes ? "done"
+                                                  : "refused"},
                     {"code", code},
                     {"why", why}};
     if (back_ms >= 0) t["retry_ms"] = back_ms;
@@ -31,7 +33,9 @@
   static auto from_tree(const tree& t) -> verdict {
     auto kind = str_or(t, "verdict");
     return {str_or(t, "code", "broken"), str_or(t, "why"),
-            kind == "refused" ? ran::no : kind == "done" ? ran::yes : ran::maybe,
+            kind == "refused" ? ran::no
+            : kind == "done"  ? ran::yes
+                              : ran::maybe,
             num_or(t, "retry_ms", -1), sub(t, "more")};
   }
 };
