Versions come into force by a deadline each; the log holds configurations packed

Cause: a lease named the newest number as the least that may be served, so in a storm of changes a node one version behind refused everything.

Change: a lease carries, for each version agreed on lately, by when it must be in force (its agreement plus the lease, rounded down to an eighth of it); an older one may be served until then. A new leader treats what it found as due at once. A node is sent the newest version at most each eighth of the lease. The property tree is made only where there is a fault to name.

Tests: those that read a node's rules go through compiled(); queens_with looks for the stored record's bytes, of the whole translated text where one test looked for a prefix in it.

--- a/forager/forager.cpp
+++ b/forager/forager.cpp
@@ -82,14 +82,16 @@
   return s && s->member() == it->second.prim ? s->addr : "";
 }
 
+auto forager::rules() const -> const charter& { return *ses.known.law->compiled(); }
+
 // The request's way through the rules of the newest charter (design 7.2).
 auto forager::judge(act a, const std::string& who, const std::string& topic, std::size_t n) -> way {
   if (!ses.may_serve() || !ses.fresh())
     throw verdict("no_lease", "no charter lease stands here", ran::no, h.spread(set.lose) / msec);
   if (!good_topic(topic)) throw verdict("malformed", "'" + topic + "' is no topic");
-  auto r = ses.known.law->judge(a, who, topic, n);
+  auto r = rules().judge(a, who, topic, n);
   if (!r.ok) throw verdict("denied", r.why);
-  const auto* s = good_topic(r.topic) ? ses.known.law->space_of(r.topic) : nullptr;
+  const auto* s = good_topic(r.topic) ? rules().space_of(r.topic) : nullptr;
   if (!s) throw verdict("no_space", "no space holds '" + r.topic + "'");
   return {r.topic, *s};
 }
@@ -229,7 +231,7 @@
   }
   if (d->topics.count(asked)) throw verdict("taken", "this link has subscribed to it already");
   auto w = judge(act::subscribe, d->name, asked, 0);
-  if (d->topics.size() >= static_cast<std::size_t>(ses.known.law->subscriptions))
+  if (d->topics.size() >= static_cast<std::size_t>(rules().subscriptions))
     throw verdict("busy", "too many subscriptions on one link", ran::no, set.lose / msec);
   auto cell = cell_of(w.home, w.topic);
   if (text.is_string()) {
@@ -450,8 +452,8 @@
       judged = ses.known.law->number;
       auto out = std::vector<std::pair<std::string, const char*>>();
       for (auto& [sid, r] : subs) {
-        auto v = ses.known.law->judge(act::subscribe, r.to->name, r.asked, 0);
-        const auto* s = v.ok && v.topic == r.topic ? ses.known.law->space_of(v.topic) : nullptr;
+        auto v = rules().judge(act::subscribe, r.to->name, r.asked, 0);
+        const auto* s = v.ok && v.topic == r.topic ? rules().space_of(v.topic) : nullptr;
         if (!s)
           out.emplace_back(sid, "denied");
         else if (cell_of(*s, r.topic) != r.cell)
--- a/forager/forager.hpp
+++ b/forager/forager.hpp
@@ -18,8 +18,9 @@
   [[nodiscard]] auto status() const -> tree;
   auto leave(tick limit) -> task<void>;  // unready, links told to return
   auto reload(const config& c) -> void { set = c; }
-  [[nodiscard]] auto ready() const -> bool;   // new links should come here
-  [[nodiscard]] auto serves() const -> bool;  // what comes is served, also while new links should go elsewhere
+  [[nodiscard]] auto ready() const -> bool;            // new links should come here
+  [[nodiscard]] auto rules() const -> const charter&;  // of the newest configuration; only where one is known
+  [[nodiscard]] auto serves() const -> bool;           // what comes is served, also while new links should go elsewhere
   // Serves one link from its first request to its last. A door spawns one for each link it takes.
   auto attend(std::shared_ptr<talk> io) -> task<void>;
   session ses;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -9,13 +9,20 @@
 namespace {
 
 constexpr auto usage_each = 10;  // swaps from one telling of usage to the next
+// Of the lease, which is what a version may take to come into force everywhere: how finely versions are timed, and
+// how often at most a node is sent one. A node so has several tries at each.
+constexpr auto version_steps = 8;
 
 }  // namespace
 
 queen::queen(host& hh, const config& c)
-    : book(hh, c,
+    : h(hh),
+      set(c),
+      book(hh, c,
            {[this](std::int64_t i, const tree& d) {
+              auto before = law.law;
               auto out = law.apply(i, d);
+              time_version(before);
               refresh();
               return out;
             },
@@ -27,10 +34,10 @@
             [this] {
               grants.clear();
               wish.clear();
+              // When another leader's versions were agreed on is not known here: they are all due.
+              if (book.leads() && law.law) deadlines.add(law.law->number, h.now());
               news.wake();
             }}),
-      h(hh),
-      set(c),
       home(hh) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
@@ -87,6 +94,25 @@
   news.wake();
 }
 
+// A version counts from when it was agreed on: the leader alone sees that, and only of what it proposed itself.
+auto queen::time_version(const configuration_ptr& before) -> void {
+  if (!law.law || law.law == before || !book.leads()) return;
+  const auto step = set.lease / version_steps;
+  auto due = book.settled() ? h.now() / step * step + set.lease : h.now();
+  deadlines.add(law.law->number, due);
+}
+
+auto queen::versions_to_tree(tick since, bool timed) const -> branch {
+  auto newest = std::max(newest_agreed, law.law ? law.law->number : 0);
+  if (!timed) return branch{{"need", newest}, {"newest", newest}};
+  auto now = h.now();
+  auto out = branch{{"need", deadlines.required(now)}, {"newest", newest}};
+  if (auto due = deadlines.to_tree(now, since); !due.empty()) out["due"] = std::move(due);
+  return out;
+}
+
+auto queen::configuration_due(const guest& g) const -> tick { return g.configuration_sent + set.lease / version_steps; }
+
 // May this queen, as leader, still speak for the majority? (design 5.3)
 auto queen::sure() const -> bool { return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32; }
 
@@ -132,7 +158,7 @@
       co_return co_await refound(id, true);
     }
     if (op == "held") co_return on_held(t);
-    co_return branch{{"charter", law.law ? tree(law.law->body) : tree()}, {"realm", law.capture()}};
+    co_return branch{{"charter", law.law ? tree(law.law->body()) : tree()}, {"realm", law.capture()}};
   }
   if (op == "status") co_return status();
   throw verdict("malformed", "unknown request " + op);
@@ -168,12 +194,17 @@
   }
   g.row = row;
   auto vec = sub(t, "vec");
-  // A third of `lose` between two signs of life; sooner where the newest number is not yet reported.
-  auto span = law.law && g.charter < law.law->number ? set.beat / 2 : set.lose / 3;
+  // A third of `lose` between two signs of life; sooner where the number sent is not yet reported.
+  auto span = g.charter < g.sent_number ? set.beat / 2 : set.lose / 3;
   auto end = came + span;
   auto had = num_or(t, "queens", 0);
+  // When a configuration that the node lacks may go; a session that has ended waits for none.
+  auto law_at = [&] {
+    auto it = guests.find(row.name);
+    return known.lacks_law(vec) && it != guests.end() ? configuration_due(it->second) : never;
+  };
   auto lacks = [&](bool settle) {
-    auto o = known.lacks(vec, settle);
+    auto o = known.lacks(vec, settle, h.now() >= law_at());
     if (auto row = stands(); !row.empty() && mark_of(row) != had) {
       auto names = twigs();
       for (const auto& a : row)
@@ -185,9 +216,10 @@
   auto out = lacks(false);
   auto lent = lends(row.name);  // a lease that can be had meanwhile is news as well
   while (out.empty() && (lent || !lends(row.name)) && h.now() < end) {
-    auto in_time = co_await news.wait(h, end);
+    auto until = std::min(end, law_at());
+    auto in_time = co_await news.wait(h, until);
     out = lacks(false);
-    if (!in_time) break;
+    if (!in_time && until == end) break;
   }
   // Comings and goings are told of together; cells at once, but not each alone where many change; a charter at once.
   auto since = h.now();
@@ -197,21 +229,31 @@
     if (due > since) co_await nap(h, due);
   }
   out = lacks(true);
-  if (auto it = guests.find(row.name); it != guests.end() && out.contains("cells")) it->second.told = h.now();
+  if (auto it = guests.find(row.name); it != guests.end()) {
+    if (out.contains("cells")) it->second.told = h.now();
+    if (out.contains("packed") || out.contains("charter")) {
+      it->second.configuration_sent = h.now();
+      it->second.sent_number = known.law->number;
+    }
+  }
   if (auto wishes = wishes_for(row.name); !wishes.empty()) out["wish"] = wishes;
   auto now = h.now();
+  auto add_versions = [&] {
+    for (auto& field : versions_to_tree(came, yes(t, "deadlines")))
+      out[field.key()] = std::move(field.value());
+  };
   if (book.leads()) {
     if (sure()) {
       auto& gr = grants[row.name];
       gr.until = std::max(gr.until, now + set.lease);
       gr.charter = num_or(t, "charter", 0);
       out["lease"] = now + set.lease - came;
-      out["need"] = law.law ? law.law->number : 0;
+      add_versions();
       out["cells_need"] = law.cells_ver;
     }
   } else if (auto it = guests.find(row.name); it != guests.end() && it->second.grant > now) {
     out["lease"] = it->second.grant - came;
-    out["need"] = grant_need;
+    add_versions();
     out["cells_need"] = grant_cells;
   }
   co_return out;
@@ -238,7 +280,7 @@
         names.push_back(n);
       }
       const auto& mine = known.tables[source];
-      auto q = branch{{"op", "swap"}, {"from", source}, {"ver", mine.ver}};
+      auto q = branch{{"op", "swap"}, {"from", source}, {"ver", mine.ver}, {"deadlines", true}};
       if (said != tree(live)) {
         q["live"] = live;
         said_ver = (boot << 32) + ++lives;
@@ -264,7 +306,9 @@
         wish.clear();
         for (const auto& m : list(r, "wish"))
           wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
-        grant_need = std::max(grant_need, num(r, "need"));
+        deadlines.add(num(r, "need"), sent);
+        if (const auto& due = sub(r, "due"); due.is_array()) deadlines.merge(due.get_array(), sent);
+        newest_agreed = std::max({newest_agreed, num(r, "need"), num_or(r, "newest", 0)});
         grant_cells = std::max(grant_cells, num(r, "cells"));
         for (const auto& n : names)
           if (auto it = guests.find(n); it != guests.end()) {
@@ -324,7 +368,8 @@
       ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
     out["wish"] = ws;
     out["grant"] = true;
-    out["need"] = law.law ? law.law->number : 0;
+    for (auto& field : versions_to_tree(h.now(), yes(t, "deadlines")))
+      out[field.key()] = std::move(field.value());
     out["cells"] = law.cells_ver;
   }
   return out;
@@ -367,6 +412,7 @@
       }
     }
     if (lost) news.wake();
+    deadlines.prune(now);
     for (auto it = grants.begin(); it != grants.end();)
       it = it->second.until < now ? grants.erase(it) : std::next(it);
   }
@@ -636,7 +682,7 @@
     if (!warn.empty()) plan["warn"] = warn;
     co_return response{200, plan, {}};
   }
-  auto d = tree(branch{{"k", "charter"}, {"body", r.body}});
+  auto d = tree(branch{{"k", "charter"}, {"record", configuration_record::from_charter(next)->to_tree()}});
   auto out = co_await deed(std::move(d));
   if (!yes(out, "ok")) throw verdict::from_tree(out);
   if (!warn.empty()) out.as_object()["warn"] = warn;
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -7,6 +7,7 @@
 
 #include "ledger/ledger.hpp"
 #include "queen/realm.hpp"
+#include "scout/version_deadlines.hpp"
 #include "scout/view.hpp"
 #include "wax/http.hpp"
 
@@ -23,13 +24,14 @@
   auto reload(const config& c) -> void { set = c; }
   auto leave(tick limit) -> task<void>;  // gives up the lead first
   realm law;
-  ledger book;
 
  private:
   struct guest {  // a session that stands here
     seat row;
     tick seen = 0;
-    tick told = -never;  // when it was last told of cells
+    tick told = -never;                // when it was last told of cells
+    tick configuration_sent = -never;  // when it was last sent a configuration
+    std::int64_t sent_number = 0;      // which one
     std::int64_t charter = 0;
     tick grant = 0;  // until when the leader lets this queen give it a lease
   };
@@ -50,7 +52,13 @@
   [[nodiscard]] auto stands() const -> std::vector<std::string>;  // where sessions can stand now
   auto sweep() -> task<void>;
   auto place() -> task<void>;
-  auto refresh() -> void;  // the ledger moved: bring the view up to it
+  auto refresh() -> void;                                      // the ledger moved: bring the view up to it
+  auto time_version(const configuration_ptr& before) -> void;  // a command was applied: is a version new?
+  // What goes with a lease that nodes or a queen may give until `lease` from now: which versions must be in force
+  // when, counted from `since`. `timed`: the receiver understands times to come.
+  [[nodiscard]] auto versions_to_tree(tick since, bool timed) const -> branch;
+  // When the node may be sent the newest configuration: changes in quick succession are sent as one.
+  [[nodiscard]] auto configuration_due(const guest& g) const -> tick;
   [[nodiscard]] auto sure() const -> bool;
   [[nodiscard]] auto lends(const std::string& name) const -> bool;  // could this node be given a lease here now?
   [[nodiscard]] auto lacking(const charter& next) const -> std::string;
@@ -83,7 +91,9 @@
   std::map<std::string, crowd> standing;
   std::int64_t lives = 0;  // tellings of who stands here
   std::map<std::string, std::int64_t> drawn;
-  std::int64_t grant_need = 0, grant_cells = 0, boot = 0, bump = 0;
+  version_deadlines deadlines;     // of the versions agreed on lately, as the leader timed them
+  std::int64_t newest_agreed = 0;  // as the leader last said
+  std::int64_t grant_cells = 0, boot = 0, bump = 0;
   signal news;
   struct move {  // a wish to a primary: another backup, or to hand over to the one it has
     std::string cell, prim, back;
@@ -91,6 +101,11 @@
   };
   std::vector<move> wish;
   tick wished = 0;
+
+ public:
+  ledger book;  // after what its callbacks write to: they are called while it reads its disk
+
+ private:
   nest home;
 };
 
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -77,13 +77,23 @@
   }
 }
 
+namespace {
+
+// A configuration in the log or a snapshot: a record, checked before it was proposed, or, as earlier releases wrote
+// it, the text.
+auto stored_configuration(const tree& stored) -> configuration_ptr {
+  if (stored.is_string()) return configuration_record::from_charter(compile(std::string(stored.get_string())));
+  return configuration_record::from_tree(stored);
+}
+
+}  // namespace
+
 // Whole charters by compare-and-set: a repeat changes nothing, a stale one is refused.
 auto realm::on_charter(std::int64_t idx, const tree& d) -> tree {
-  auto next = compile(str(d, "body"));
+  auto next = stored_configuration(sub(d, sub(d, "record").is_object() ? "record" : "body"));
   auto now = law ? law->number : 0;
   if (law && next->number == now) {
-    if (boost::json::parse(next->body) == boost::json::parse(law->body))
-      return branch{{"ok", true}, {"number", now}, {"repeat", true}};
+    if (next->same_content(*law)) return branch{{"ok", true}, {"number", now}, {"repeat", true}};
     throw verdict("taken", "number " + std::to_string(now) + " is already used with other content", ran::no, -1,
                   branch{{"newest", now}});
   }
@@ -194,7 +204,7 @@
   auto l = branch();
   for (const auto& [n, v] : leavings)
     l[n] = branch{{"kind", v.kind}, {"done", v.done}, {"idx", v.idx}};
-  return branch{{"format", 1},        {"charter", law ? tree(law->body) : tree()},
+  return branch{{"format", 1},        {"charter", law ? law->to_tree() : tree()},
                 {"law_idx", law_idx}, {"cells", c},
                 {"leavings", l},      {"cells_ver", cells_ver}};
 }
@@ -203,7 +213,7 @@
   *this = realm();
   if (t.is_null()) return;
   if (num(t, "format") != 1) throw verdict("damaged", "the ledger's capture has an unknown format");
-  if (sub(t, "charter").is_string()) law = compile(str(t, "charter"));
+  if (const auto& stored = sub(t, "charter"); !stored.is_null()) law = stored_configuration(stored);
   law_idx = num(t, "law_idx");
   for (const auto& kv : sub(t, "cells").as_object())
     cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
--- a/queen/realm.hpp
+++ b/queen/realm.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "waggle/waggle.hpp"
+#include "waggle/configuration_record.hpp"
 #include "wax/tree.hpp"
 
 namespace hive {
@@ -33,7 +33,7 @@
   [[nodiscard]] auto capture() const -> tree;
   auto restore(const tree& t) -> void;
 
-  charter_ptr law;  // the newest accepted; null before the first
+  configuration_ptr law;  // the newest accepted; null before the first
   std::int64_t law_idx = 0;
   std::map<std::string, cell_row> cells;
   struct leaving {
--- a/scout/scout.cpp
+++ b/scout/scout.cpp
@@ -50,6 +50,8 @@
     if (ses.leased() && ses.fresh()) {
       out["lease"] = h.now() + ses.lease_left() - came;
       out["need"] = ses.need();
+      out["newest"] = ses.newest();
+      if (auto due = ses.due_versions(came); !due.empty()) out["due"] = due;
       out["cells_need"] = ses.known.cells_ver;
     }
     co_return out;
--- a/scout/session.cpp
+++ b/scout/session.cpp
@@ -47,6 +47,16 @@
   move_at = h.now() + static_cast<tick>(h.below(static_cast<std::uint64_t>(set.lose * 2)));
 }
 
+// Which versions the lease wants in force, and when. A node that has just started serves by nothing older than the
+// newest that a majority had agreed on.
+auto session::take_versions(const tree& answer, tick asked) -> void {
+  least = std::max(least, num_or(answer, "need", 0));
+  newest_told = std::max({newest_told, least, num_or(answer, "newest", 0)});
+  if (!ever) least = newest_told;
+  if (const auto& due = sub(answer, "due"); due.is_array()) deadlines.merge(due.get_array(), asked);
+  deadlines.prune(h.now());
+}
+
 auto session::leave_door() -> void {
   if (!line) return;
   line->on_turn = nullptr;
@@ -81,6 +91,7 @@
                            {"me", me.to_tree()},
                            {"vec", known.vec()},
                            {"queens", queens.empty() ? 0 : mark_of(queens)},
+                           {"deadlines", true},
                            {"charter", serving     ? serving()
                                        : known.law ? known.law->number
                                                    : 0}});
@@ -95,7 +106,7 @@
           top = sent + left;
           good = h.now();
         }
-        least = std::max(least, num_or(r, "need", 0));
+        take_versions(r, sent);
         if (!ever) cells_need = num_or(r, "cells_need", 0);
         ever = true;
       }
--- a/scout/session.hpp
+++ b/scout/session.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "scout/version_deadlines.hpp"
 #include "scout/view.hpp"
 #include "wax/colleague.hpp"
 #include "wax/config.hpp"
@@ -25,9 +26,14 @@
 
   [[nodiscard]] auto leased() const -> bool { return until > h.now(); }
   [[nodiscard]] auto lease_left() const -> tick { return std::max<tick>(0, until - h.now()); }
-  [[nodiscard]] auto need() const -> std::int64_t { return least; }
-  // Served by the newest charter that a majority could have promised anyone.
-  [[nodiscard]] auto may_serve() const -> bool { return leased() && known.law && known.law->number >= least; }
+  // The oldest version that may be served by now: the newest whose time to come into force has passed.
+  [[nodiscard]] auto need() const -> std::int64_t { return std::max(least, deadlines.required(h.now())); }
+  // The newest version that the control plane has told of, held here or not.
+  [[nodiscard]] auto newest() const -> std::int64_t { return newest_told; }
+  // Versions that must come into force, with the time left from `since`.
+  [[nodiscard]] auto due_versions(tick since) const -> twigs { return deadlines.to_tree(h.now(), since); }
+  // Served by a version that no newer one has replaced for longer than the bound (design 5.3).
+  [[nodiscard]] auto may_serve() const -> bool { return leased() && known.law && known.law->number >= need(); }
   // What the majority has answered since this start: nothing older may be acted on.
   [[nodiscard]] auto fresh() const -> bool { return ever && known.cells_ver >= cells_need; }
   auto ask(tree t, tick limit) -> task<tree>;  // a request to the control plane
@@ -41,6 +47,7 @@
  private:
   auto run() -> task<void>;
   auto take_queens(const tree& row) -> void;
+  auto take_versions(const tree& answer, tick asked) -> void;
   auto leave_door() -> void;
   host& h;
   config set;
@@ -49,7 +56,8 @@
   std::size_t at = 0;
   tick until = 0, move_at = never;  // move_at: when the session goes over to `move_to`
   std::string move_to;
-  std::int64_t least = 0, cells_need = 0;
+  std::int64_t least = 0, cells_need = 0, newest_told = 0;
+  version_deadlines deadlines;
   bool ever = false;
   twigs wish;
   signal turned;                    // the line came up, fell, or its queen is gone
--- a/scout/view.cpp
+++ b/scout/view.cpp
@@ -121,15 +121,17 @@
   return branch{{"charter", law ? law->number : 0}, {"cells", cells_ver}, {"tables", t}, {"need", need.to_tree()}};
 }
 
-auto view::lacks(const tree& vec, bool settle) const -> branch {
+auto view::lacks(const tree& vec, bool settle, bool with_law) const -> branch {
   auto out = branch();
   const auto& said =
       sub(vec, "need");  // who says none is of an earlier landing, and knows no steps and no packed charters
-  if (law && law->number > num_or(vec, "charter", 0)) {
-    if (said.is_object())
-      out["packed"] = law->packed();
-    else
-      out["charter"] = law->body;
+  if (with_law && lacks_law(vec)) {
+    if (said.is_object()) {
+      out["packed"] = law->rules();
+      out["head"] = law->head();
+    } else {
+      out["charter"] = law->body();
+    }
   }
   if (auto had = num_or(vec, "cells", 0); cells_ver > had) {
     auto rows = branch();
@@ -158,8 +160,8 @@
   const auto& whole = sub(t, "charter");
   const auto& packed = sub(t, "packed");
   if (whole.is_string() || packed.is_string()) {
-    auto next = packed.is_string() ? compile_packed(std::string(packed.get_string()))
-                                   : compile(std::string(whole.get_string()));
+    auto next = packed.is_string() ? configuration_record::from_pull(sub(t, "head"), std::string(packed.get_string()))
+                                   : configuration_record::from_charter(compile(std::string(whole.get_string())));
     if (!law || next->number > law->number) {
       law = next;
       fresh = true;
--- a/scout/view.hpp
+++ b/scout/view.hpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "queen/realm.hpp"
-#include "waggle/waggle.hpp"
+#include "waggle/configuration_record.hpp"
 
 namespace hive {
 
@@ -55,7 +55,7 @@
    private:
     auto trim() -> void;
   };
-  charter_ptr law;
+  configuration_ptr law;
   std::map<std::string, cell_row> cells;
   std::map<std::string, realm::leaving> leavings;
   std::int64_t cells_ver = 0;
@@ -64,7 +64,10 @@
 
   [[nodiscard]] auto vec() const -> tree;
   // What one who holds `vec` lacks; an empty map if nothing. `settle`: also versions that bring nothing needed.
-  [[nodiscard]] auto lacks(const tree& vec, bool settle = false) const -> branch;
+  // `with_law`: the configuration too.
+  [[nodiscard]] auto lacks(const tree& vec, bool settle = false, bool with_law = true) const -> branch;
+  // Whether it lacks the newest configuration.
+  [[nodiscard]] auto lacks_law(const tree& vec) const -> bool { return law && law->number > num_or(vec, "charter", 0); }
   // Takes in such a map; versions only go up. Returns whether anything was new.
   auto merge(const tree& t) -> bool;
   [[nodiscard]] auto find(const std::string& name) const -> const seat*;
--- a/scout/view_test.cpp
+++ b/scout/view_test.cpp
@@ -14,6 +14,9 @@
   s.disk = "1";
   return s;
 }
+auto version(const std::string& body) -> hive::configuration_ptr {
+  return hive::configuration_record::from_charter(hive::compile(body));
+}
 // What b gets from a; the count of rows told, those that went included, or -1 if there was no news.
 auto pull(const hive::view& a, hive::view& b, bool settle = false) -> int {
   auto t = a.lacks(b.vec(), settle);
@@ -31,7 +34,7 @@
 TEST_GROUP(view_pulls){};
 TEST(view_pulls, only_what_is_lacking_and_never_back) {
   auto a = hive::view(), b = hive::view();
-  a.law = hive::compile(R"({"number":4,"spaces":[]})");
+  a.law = version(R"({"number":4,"spaces":[]})");
   a.cells["s/0"] = {3, 0, "x/1", "y/1", {"x/1", "y/1"}, 9, ""};
   a.cells_ver = 9;
   a.tables["q1"].put(row("x", "comb", "z"), 7);
@@ -39,7 +42,7 @@
   CHECK(a.lacks(b.vec()).empty());
   CHECK(b.find("x") != nullptr);
   auto old = hive::view();
-  old.law = hive::compile(R"({"number":3,"spaces":[]})");
+  old.law = version(R"({"number":3,"spaces":[]})");
   old.cells["s/0"] = {2, 0, "y/1", "x/1", {"x/1", "y/1"}, 5, ""};
   old.cells_ver = 5;
   old.tables["q2"].ver = 1;
@@ -57,19 +60,19 @@
   for (auto i = 0; i < 1000; ++i)
     spaces += std::string(i ? "," : "") + R"({"name":"s)" + std::to_string(i) +
               R"(","pool":"p","cells":4,"urgency":3,"keep_s":35,"timeout_ms":1500})";
-  a.law = hive::compile(R"({"number":4,"origin":")" + std::string(50000, 'o') + R"(","spaces":[)" + spaces + "]}");
+  a.law = version(R"({"number":4,"origin":")" + std::string(50000, 'o') + R"(","spaces":[)" + spaces + "]}");
   auto t = a.lacks(b.vec());
-  CHECK(hive::pack(t).size() < a.law->body.size() / 8);
+  CHECK(hive::pack(t).size() < a.law->body().size() / 8);
   CHECK(b.merge(t));
   LONGS_EQUAL(4, b.law->number);
-  LONGS_EQUAL(1000, b.law->spaces.size());
-  STRCMP_EQUAL("", b.law->origin.c_str());
+  LONGS_EQUAL(1000, b.law->compiled()->spaces.size());
+  STRCMP_EQUAL("", b.law->compiled()->origin.c_str());
   CHECK(c.merge(b.lacks(c.vec())));  // as the scout hands it on
-  LONGS_EQUAL(1000, c.law->spaces.size());
+  LONGS_EQUAL(1000, c.law->compiled()->spaces.size());
   auto old = c.vec();
   old.as_object().erase("need");
   old.as_object()["charter"] = 3;
-  STRCMP_EQUAL(a.law->body.c_str(), std::string(a.lacks(old)["charter"].as_string()).c_str());
+  STRCMP_EQUAL(a.law->body().c_str(), std::string(a.lacks(old)["charter"].as_string()).c_str());
   auto bad = t["packed"].as_string();
   bad[bad.size() / 2] ^= 1;
   auto d = hive::view();
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -251,11 +251,12 @@
 }
 
 auto fleet::queens_with(const std::string& body) const -> int {
+  auto stored = configuration_record::from_charter(compile(body))->rules();  // as the log has it
   auto n = 0;
   for (const auto& [name, p] : all)
     if (p->kind == "queen")
       n += std::any_of(p->box->solid.begin(), p->box->solid.end(),
-                       [&](const auto& kv) { return kv.second.find(body) != std::string::npos; });
+                       [&](const auto& kv) { return kv.second.find(stored) != std::string::npos; });
   return n;
 }
 auto fleet::behind(std::int64_t n) const -> std::string {
--- /dev/null
+++ b/waggle/configuration_record.hpp
@@ -0,0 +1,52 @@
+// One version of the configuration as it is stored and sent: a head that every node reads, and the rest deflated.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "waggle/waggle.hpp"
+#include "wax/tree.hpp"
+
+namespace hive {
+
+// A control or storage node needs the number and the pools alone; only a gateway compiles the rules, once for each
+// version that it serves by. Immutable but for that cache.
+class configuration_record {
+ public:
+  using pointer = std::shared_ptr<const configuration_record>;
+
+  // From a configuration that was checked and compiled as a whole.
+  static auto from_charter(const charter_ptr& compiled) -> pointer;
+  // From `to_tree`; throws bad_bytes on what is none.
+  static auto from_tree(const tree& stored) -> pointer;
+  // From what a node was sent: `rules` as in `rules()`, `head` as in `head()`. A sender of an earlier release sends no
+  // head: then the rules are compiled at once.
+  static auto from_pull(const tree& head, const std::string& rules) -> pointer;
+
+  // Everything, for the replicated log and its snapshots.
+  [[nodiscard]] auto to_tree() const -> tree;
+  // Number and pools, for nodes.
+  [[nodiscard]] auto head() const -> tree;
+  // What nodes need beside the head: the text without its origin, deflated.
+  [[nodiscard]] auto rules() const -> const std::string& { return rules_deflated; }
+  // The whole as the operator sent it, its fields perhaps in another order.
+  [[nodiscard]] auto body() const -> std::string;
+  // Compiled at the first call; throws bad_bytes if the stored bytes are damaged.
+  [[nodiscard]] auto compiled() const -> const charter_ptr&;
+  // Whether both say the same, in whatever order their fields stand.
+  [[nodiscard]] auto same_content(const configuration_record& other) const -> bool;
+
+  std::int64_t number = 0;
+  std::int64_t after = -1;  // the number that it is meant to follow; -1: any
+  std::map<std::string, pool> pools;
+
+ private:
+  [[nodiscard]] auto content() const -> tree;
+  std::string rules_deflated;
+  std::string origin_deflated;  // empty: it was not translated from another text
+  mutable charter_ptr compiled_rules;
+};
+using configuration_ptr = configuration_record::pointer;
+
+}  // namespace hive
--- a/waggle/waggle.cpp
+++ b/waggle/waggle.cpp
@@ -1,9 +1,7 @@
 #include "waggle/waggle.hpp"
 
-#include <zlib.h>
-
 #include <algorithm>
-#include <array>
+#include <boost/json/basic_parser_impl.hpp>
 #include <boost/property_tree/json_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <cctype>
@@ -19,7 +17,6 @@
 using boost::property_tree::ptree;
 
 constexpr auto spaces_most = std::size_t{20000};
-constexpr auto lean_most = std::size_t{16} << 20;  // bytes of a charter out of its packing
 
 // Words of one rule, each with its column.
 struct word {
@@ -136,6 +133,60 @@
   std::vector<step>& out;
 };
 
+// Counts the keys of all objects in a text, repeated ones too.
+struct key_counter {
+  static constexpr auto max_object_size = std::size_t(-1);
+  static constexpr auto max_array_size = std::size_t(-1);
+  static constexpr auto max_key_size = std::size_t(-1);
+  static constexpr auto max_string_size = std::size_t(-1);
+  using code = boost::json::error_code;
+  using chars = boost::json::string_view;
+  std::size_t keys = 0;
+
+  auto on_document_begin(code&) -> bool { return true; }
+  auto on_document_end(code&) -> bool { return true; }
+  auto on_object_begin(code&) -> bool { return true; }
+  auto on_object_end(std::size_t n, code&) -> bool {
+    keys += n;
+    return true;
+  }
+  auto on_array_begin(code&) -> bool { return true; }
+  auto on_array_end(std::size_t, code&) -> bool { return true; }
+  auto on_key_part(chars, std::size_t, code&) -> bool { return true; }
+  auto on_key(chars, std::size_t, code&) -> bool { return true; }
+  auto on_string_part(chars, std::size_t, code&) -> bool { return true; }
+  auto on_string(chars, std::size_t, code&) -> bool { return true; }
+  auto on_number_part(chars, code&) -> bool { return true; }
+  auto on_int64(std::int64_t, chars, code&) -> bool { return true; }
+  auto on_uint64(std::uint64_t, chars, code&) -> bool { return true; }
+  auto on_double(double, chars, code&) -> bool { return true; }
+  auto on_bool(bool, code&) -> bool { return true; }
+  auto on_null(code&) -> bool { return true; }
+  auto on_comment_part(chars, code&) -> bool { return true; }
+  auto on_comment(chars, code&) -> bool { return true; }
+};
+
+auto count_keys(const tree& t) -> std::size_t {
+  auto count = std::size_t{0};
+  if (t.is_object()) {
+    count += t.get_object().size();
+    for (const auto& entry : t.get_object())
+      count += count_keys(entry.value());
+  } else if (t.is_array()) {
+    for (const auto& value : t.get_array())
+      count += count_keys(value);
+  }
+  return count;
+}
+
+// Whether `body`, which was read as `t`, repeats a key in any object: a tree holds each but once.
+auto repeats_keys(const std::string& body, const tree& t) -> bool {
+  auto counting = boost::json::basic_parser<key_counter>(boost::json::parse_options());
+  auto ec = boost::json::error_code();
+  counting.write_some(false, body.data(), body.size(), ec);
+  return ec.failed() || counting.handler().keys != count_keys(t);
+}
+
 struct reader {
   std::vector<fault_at> faults;
   auto bad(std::string place, std::string why) -> void { faults.push_back({std::move(place), std::move(why)}); }
@@ -150,6 +201,11 @@
         bad(place + k, "is repeated");
     }
   }
+  // The same where no key is repeated.
+  auto keys(const tree& t, const std::string& place, const std::set<std::string>& known) -> void {
+    for (const auto& entry : t.get_object())
+      if (!known.count(std::string(entry.key()))) bad(place + std::string(entry.key()), "is no key known here");
+  }
   auto whole(const tree& t, const std::string& place, const std::string& key, std::int64_t low, std::int64_t high,
              std::int64_t other, bool must) -> std::int64_t {
     const auto& v = sub(t, key);
@@ -188,20 +244,27 @@
 auto compile(const std::string& body) -> charter_ptr {
   auto out = std::make_shared<charter>();
   auto r = reader();
+  auto ec = boost::json::error_code();
+  auto t = boost::json::parse(body, ec);
+  // The property tree, many times slower, is made only where it has a fault to name: a syntax error's line, a
+  // repeated key.
+  auto apart = ec.failed() || repeats_keys(body, t);
   auto p = ptree();
-  auto t = tree();
   try {
-    auto in = std::istringstream(body);
-    boost::property_tree::read_json(in, p);
-    auto ec = boost::json::error_code();
-    t = boost::json::parse(body, ec);
+    if (apart) {
+      auto in = std::istringstream(body);
+      boost::property_tree::read_json(in, p);
+    }
     if (ec) r.bad("charter", ec.message());
   } catch (const boost::property_tree::json_parser_error& e) {
     r.bad("line " + std::to_string(e.line()), e.message());
   }
   if (r.faults.empty() && !t.is_object()) r.bad("charter", "is no JSON object");
   if (r.faults.empty()) {
-    r.keys(p, "", {"number", "after", "spaces", "rules", "subscriptions", "origin"});
+    const auto fields = std::set<std::string>{"number", "after", "spaces", "rules", "subscriptions", "origin"};
+    const auto space_fields = std::set<std::string>{"name",    "prefix", "pool",  "keep_s",     "keep_ms",
+                                                    "urgency", "cells",  "order", "timeout_ms", "aim_ms"};
+    apart ? r.keys(p, "", fields) : r.keys(t, "", fields);
     out->number = r.whole(t, "", "number", 1, 1LL << 52, 0, true);
     out->after = r.whole(t, "", "after", 0, 1LL << 52, -1, false);
     out->subscriptions = r.whole(t, "", "subscriptions", 1, 1000000, 1000, false);
@@ -212,20 +275,20 @@
     if (!sub(t, "spaces").is_array()) {
       r.bad("spaces", "wants a list of spaces");
     } else {
-      auto pt = p.get_child("spaces");
+      auto no_spaces = ptree();
+      const auto& pt = apart ? p.get_child("spaces") : no_spaces;
       auto pi = pt.begin();
       auto i = 0;
       auto heads = std::set<std::string>();
       auto widths = std::map<std::string, std::int64_t>();
       for (const auto& s : list(t, "spaces")) {
         auto place = "spaces[" + std::to_string(i++) + "].";
-        const auto& ps = (pi++)->second;
+        const auto& ps = apart ? (pi++)->second : no_spaces;
         if (!s.is_object()) {
           r.bad(place, "is no space");
           continue;
         }
-        r.keys(ps, place,
-               {"name", "prefix", "pool", "keep_s", "keep_ms", "urgency", "cells", "order", "timeout_ms", "aim_ms"});
+        apart ? r.keys(ps, place, space_fields) : r.keys(s, place, space_fields);
         auto one = space();
         if (!sub(s, "name").is_string())
           r.bad(place + "name", "wants a string");
@@ -384,43 +447,6 @@
   return nullptr;
 }
 
-// Charters name many topics in the same words, and the links to nodes are small (design 5.2).
-auto charter::packed() const -> const std::string& {
-  if (!pack_kept.empty()) return pack_kept;
-  auto t = boost::json::parse(body);
-  t.as_object().erase("origin");
-  auto lean = boost::json::serialize(t);
-  auto size = ::compressBound(lean.size());
-  auto out = std::string(size, '\0');
-  if (::compress2(reinterpret_cast<Bytef*>(out.data()), &size, reinterpret_cast<const Bytef*>(lean.data()), lean.size(),
-                  Z_BEST_SPEED) != Z_OK)
-    throw verdict("busy", "a charter could not be deflated");
-  out.resize(size);
-  pack_kept = std::move(out);
-  return pack_kept;
-}
-
-auto compile_packed(const std::string& bytes) -> charter_ptr {
-  auto in = z_stream();
-  in.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
-  in.avail_in = static_cast<uInt>(bytes.size());
-  if (::inflateInit(&in) != Z_OK) throw bad_bytes("no room to inflate a charter");
-  auto lean = std::string();
-  auto buf = std::array<char, 1 << 14>();
-  auto rc = Z_OK;
-  while (rc == Z_OK && lean.size() <= lean_most) {
-    in.next_out = reinterpret_cast<Bytef*>(buf.data());
-    in.avail_out = buf.size();
-    rc = ::inflate(&in, Z_NO_FLUSH);
-    lean.append(buf.data(), buf.size() - in.avail_out);
-  }
-  ::inflateEnd(&in);
-  if (rc != Z_STREAM_END) throw bad_bytes("a charter that does not inflate");
-  auto out = compile(lean);
-  out->took(bytes);
-  return out;
-}
-
 auto good_topic(const std::string& t) -> bool {
   return !t.empty() && t.size() <= 200 && std::all_of(t.begin(), t.end(), [](char c) { return c > ' ' && c < 0x7f; });
 }
--- a/waggle/waggle.hpp
+++ b/waggle/waggle.hpp
@@ -57,14 +57,10 @@
       -> ruling;
   [[nodiscard]] auto space_of(std::string_view topic) const -> const space*;
   auto index() -> void;  // after `spaces` was filled: pools and prefixes
-  // What the nodes need of it, the origin left out, deflated. Made once; `took` says that it came so.
-  [[nodiscard]] auto packed() const -> const std::string&;
-  auto took(std::string bytes) const -> void { pack_kept = std::move(bytes); }
 
  private:
   std::vector<std::size_t> lengths;                          // of prefixes, the longest first
   std::map<std::string, std::string, std::less<>> prefixes;  // -> name
-  mutable std::string pack_kept;
 };
 using charter_ptr = std::shared_ptr<const charter>;
 
@@ -73,8 +69,6 @@
 };
 // Checks and compiles the whole; throws verdict("bad_charter") naming every fault found.
 auto compile(const std::string& body) -> charter_ptr;
-// From charter::packed; throws bad_bytes on what is none.
-auto compile_packed(const std::string& bytes) -> charter_ptr;
 
 auto good_topic(const std::string& t) -> bool;  // 1 to 200 printable bytes without a space
 // Which cell of its pool holds a topic: "pool/k".
