--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -14,6 +14,8 @@
 
 namespace hive {
 
+constexpr auto seats_least = std::size_t{3};  // voters that silence alone does not bring below
+
 struct voter {
   std::string addr, id;
   auto operator==(const voter&) const -> bool = default;
