Control node: the log is made after what its callbacks use; a bad state changes nothing

A malformed state left half of itself behind. Change: the log is declared behind the members that its callbacks use; realm::restore builds the new state first and takes it over whole. Conclusion: members that hand out callbacks in their constructor come last.

--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -13,7 +13,9 @@
 }  // namespace
 
 queen::queen(host& hh, const config& c)
-    : book(hh, c,
+    : h(hh),
+      set(c),
+      book(hh, c,
            {[this](std::int64_t i, const tree& d) {
               auto out = law.apply(i, d);
               refresh();
@@ -29,8 +31,6 @@
               wish.clear();
               news.wake();
             }}),
-      h(hh),
-      set(c),
       home(hh) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -23,7 +23,6 @@
   auto reload(const config& c) -> void { set = c; }
   auto leave(tick limit) -> task<void>;  // gives up the lead first
   realm law;
-  ledger book;
 
  private:
   struct guest {  // a session that stands here
@@ -91,6 +90,11 @@
   };
   std::vector<move> wish;
   tick wished = 0;
+
+ public:
+  ledger book;  // after all that its callbacks use: a snapshot on its disk is restored while it is made
+
+ private:
   nest home;
 };
 
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -199,17 +199,20 @@
                 {"leavings", l},      {"cells_ver", cells_ver}};
 }
 
+// A malformed capture throws before anything here changes.
 auto realm::restore(const tree& t) -> void {
-  *this = realm();
-  if (t.is_null()) return;
-  if (num(t, "format") != 1) throw verdict("damaged", "the ledger's capture has an unknown format");
-  if (sub(t, "charter").is_string()) law = compile(str(t, "charter"));
-  law_idx = num(t, "law_idx");
-  for (const auto& kv : sub(t, "cells").as_object())
-    cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
-  for (const auto& kv : sub(t, "leavings").as_object())
-    leavings[std::string(kv.key())] = {str(kv.value(), "kind"), yes(kv.value(), "done"), num(kv.value(), "idx")};
-  cells_ver = num(t, "cells_ver");
+  auto next = realm();
+  if (!t.is_null()) {
+    if (num(t, "format") != 1) throw verdict("damaged", "the ledger's capture has an unknown format");
+    if (sub(t, "charter").is_string()) next.law = compile(str(t, "charter"));
+    next.law_idx = num(t, "law_idx");
+    for (const auto& kv : sub(t, "cells").as_object())
+      next.cells[std::string(kv.key())] = cell_row::from_tree(kv.value());
+    for (const auto& kv : sub(t, "leavings").as_object())
+      next.leavings[std::string(kv.key())] = {str(kv.value(), "kind"), yes(kv.value(), "done"), num(kv.value(), "idx")};
+    next.cells_ver = num(t, "cells_ver");
+  }
+  *this = std::move(next);
 }
 
 }  // namespace hive
