--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -103,7 +103,7 @@
   tick wished = 0;
 
  public:
-  ledger book;  // after what its callbacks write to: they are called while it reads its disk
+  ledger book;  // after all that its callbacks use: a snapshot on its disk is restored while it is made
 
  private:
   nest home;
