Operators' orders are fenced: one that was given up is not carried out after a newer one

Cause: an order to leave or stay that the door gave up (no clear answer) stayed on its way to the leader or in a frozen process and was carried out seconds later, after the same order, its opposite or its refusal had been confirmed. A control node that lagged behind an order refused it when it was sent again. Two operators with other content under one revision were both told 200.

It is decided anew only while its caller waits: not after the door's patience, nor once the caller has closed. A refusal goes through the ledger too. Of two contents under the newest revision the second is refused with 409; the same again and any lower one are acknowledged; the node's own state answers only what no later entry can undo. Names that no node can have are refused. Orders have moved out of queen.cpp.

--- /dev/null
+++ b/queen/leave_orders.hpp
@@ -0,0 +1,21 @@
+// Operators' orders that a node or a whole zone leaves or stays, as the control node's page takes them.
+#pragma once
+#include <cstdint>
+#include <string>
+
+#include "wax/http.hpp"
+
+namespace hive {
+
+struct leave_order {
+  bool begins = true;       // false: it takes an earlier order back
+  std::string name;         // of the node, or zone_key of the zone
+  std::string kind;         // drain, evacuate or retire
+  std::int64_t copies = 2;  // nodes that must remain to hold copies, for a retirement
+};
+// The order in the body of a request to /v1/leave or /v1/stay. Throws verdict("malformed") that names the fault.
+auto read_leave_order(const request& r) -> leave_order;
+// Could this be the name of a node or a zone? 1 to 100 printable bytes without a space, '/' or ':'.
+auto good_node_name(const std::string& name) -> bool;
+
+}  // namespace hive
--- /dev/null
+++ b/queen/order_fence.hpp
@@ -0,0 +1,36 @@
+// Fences operators' orders: one that was given up must not be carried out after a newer one (design 4.6).
+//
+// Replicated state. Each order on a name (a node or a zone) remembers the ledger index of the last order on that
+// name at which it was decided. It is applied only if that index still holds: compare-and-set. The index of a name
+// never goes down, also after the name's row has left the table, so an index that was once seen never returns.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "wax/tree.hpp"
+
+namespace hive {
+
+class order_fence {
+ public:
+  static constexpr auto names_most = std::size_t{1024};  // rows kept; the oldest is merged into the floor
+
+  // The ledger index of the last order on `name`, or the floor if none is remembered.
+  [[nodiscard]] auto index_of(const std::string& name) const -> std::int64_t;
+  // Throws verdict("overtaken") if `command` was decided before the last order on `name`. Commands without
+  // `after` come from versions without a fence and pass.
+  auto check(const std::string& name, const tree& command) const -> void;
+  // The order at ledger index `idx` was applied, whether or not it changed anything.
+  auto record(const std::string& name, const tree& command, std::int64_t idx) -> void;
+
+  [[nodiscard]] auto capture() const -> tree;
+  // Null: a snapshot of a version without a fence.
+  static auto restore(const tree& t) -> order_fence;
+
+ private:
+  std::map<std::string, std::int64_t> last;
+  std::int64_t floor = 0;  // no name without a row had its last order after this index
+};
+
+}  // namespace hive
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "ledger/ledger.hpp"
+#include "queen/leave_orders.hpp"
 #include "queen/realm.hpp"
 #include "scout/version_deadlines.hpp"
 #include "scout/view.hpp"
@@ -74,7 +75,12 @@
   auto loads() const -> std::map<std::string, std::int64_t>;
   auto wishes_for(const std::string& name) const -> twigs;
   auto page_charter(request r) -> task<response>;
+  // Orders to leave and to stay: queen/leave_orders.cpp.
   auto page_leave(request r) -> task<response>;
+  auto list_leavings() -> task<response>;
+  auto decide(const leave_order& o) -> task<tree>;
+  [[nodiscard]] auto knows_comb(const std::string& name) const -> bool;
+  [[nodiscard]] auto why_not_retire(const leave_order& o, const branch& rest) const -> std::optional<verdict>;
 
   host& h;
   config set;
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -68,7 +68,7 @@
     if (k == "charter") return on_charter(idx, deed);
     if (k == "cell") return on_cell(idx, deed);
     if (k == "refound") return on_refound(idx, deed);
-    if (k == "leave" || k == "left" || k == "stay") return on_leave(idx, deed);
+    if (k == "leave" || k == "left" || k == "stay" || k == "decline") return on_leave(idx, deed);
     return verdict("malformed", "unknown deed " + k).to_tree();
   } catch (const verdict& v) {
     return v.to_tree();
@@ -170,6 +170,11 @@
 auto realm::on_leave(std::int64_t idx, const tree& d) -> tree {
   auto name = str(d, "name");
   auto k = str(d, "k");
+  if (k != "left") {
+    orders.check(name, d);
+    orders.record(name, d, idx);
+  }
+  if (k == "decline") return branch{{"ok", true}};  // refused where it was decided: what is older must not follow
   if (k == "leave") {
     auto kind = str(d, "kind");
     if (!zone_of_key(name).empty() && kind != "evacuate") throw verdict("malformed", "a zone can only be evacuated");
@@ -204,9 +209,13 @@
   auto l = branch();
   for (const auto& [n, v] : leavings)
     l[n] = branch{{"kind", v.kind}, {"done", v.done}, {"idx", v.idx}};
-  return branch{{"format", 1},        {"charter", law ? law->to_tree() : tree()},
-                {"law_idx", law_idx}, {"cells", c},
-                {"leavings", l},      {"cells_ver", cells_ver}};
+  return branch{{"format", 1},
+                {"charter", law ? law->to_tree() : tree()},
+                {"law_idx", law_idx},
+                {"cells", c},
+                {"leavings", l},
+                {"cells_ver", cells_ver},
+                {"orders", orders.capture()}};
 }
 
 auto realm::restore(const tree& t) -> void {
@@ -220,6 +229,7 @@
   for (const auto& kv : sub(t, "leavings").as_object())
     leavings[std::string(kv.key())] = {str(kv.value(), "kind"), yes(kv.value(), "done"), num(kv.value(), "idx")};
   cells_ver = num(t, "cells_ver");
+  orders = order_fence::restore(sub(t, "orders"));
 }
 
 }  // namespace hive
--- a/queen/realm.hpp
+++ b/queen/realm.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "queen/order_fence.hpp"
 #include "waggle/configuration_record.hpp"
 #include "wax/tree.hpp"
 
@@ -42,6 +43,7 @@
     std::int64_t idx = 0;
   };
   std::map<std::string, leaving> leavings;
+  order_fence orders;          // on what leaves and stays
   std::int64_t cells_ver = 0;  // the entry that last changed cells or leavings
   [[nodiscard]] auto held_by(const std::string& name) const -> std::vector<std::string>;
   // Why these nodes, name -> zone, cannot hold `copies` copies in two localities; empty: they can. A node
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -69,6 +69,13 @@
   }
   [[nodiscard]] auto owed() const -> std::size_t override { return out.size(); }
   auto eaten() -> void override { turn(); }
+  // After a freeze the end of a stream stands unread behind its bytes.
+  [[nodiscard]] auto ended() const -> bool override {
+    if (shut) return true;
+    auto one = char{};
+    auto n = ::recv(sock.get(), &one, 1, MSG_PEEK);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  }
 
  private:
   auto stirred(int e) -> void {
--- a/wax/host.hpp
+++ b/wax/host.hpp
@@ -23,6 +23,8 @@
   virtual auto close() -> void = 0;                            // what is queued still goes out
   [[nodiscard]] virtual auto owed() const -> std::size_t = 0;  // queued, not yet taken by the net
   virtual auto eaten() -> void {}                              // the reader made room
+  // Has the other side closed, as far as this machine can tell now? It may be true before `shut` is.
+  [[nodiscard]] virtual auto ended() const -> bool { return shut; }
 
   // Waits for more bytes than are in `in`; false once the stream has ended.
   auto more(tick until = never) -> task<bool> {
--- a/wax/http.cpp
+++ b/wax/http.cpp
@@ -170,6 +170,7 @@
       break;
     }
     r.body = std::move(ps->get().body());
+    r.abandoned = [l] { return l->ended(); };
     keep = ps->get().keep_alive();
     auto out = response();
     try {
--- a/wax/http.hpp
+++ b/wax/http.hpp
@@ -14,6 +14,9 @@
   std::string verb, path;
   std::map<std::string, std::string> query;
   std::string body;
+  tick until = never;               // its caller waits no longer than this: nothing is begun afterwards
+  std::function<bool()> abandoned;  // has its caller closed the connection? May be empty.
+  [[nodiscard]] auto awaited(tick now) const -> bool { return now < until && !(abandoned && abandoned()); }
 };
 struct response {
   int code = 200;
