Links whose caller vanished without a word end; answers are tested on real links

Cause: the accepting side of a link between nodes never noticed that the other machine had lost its power. Its subscribers stayed in the count of INQUIRE for good, and its descriptors and buffers stayed too.

A colleague says in its hello that it answers, so links of earlier versions stay as they were. New tests on real sockets: an answer of an earlier link (reset, or silent and given up) is not taken for a later request and nothing is sent twice; answers out of order; reused descriptors; the end of a stream behind unread bytes. In the fleet: an old connection of a caller beside its new one.

--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -49,6 +49,7 @@
     auto all = ses.known.all();
     return std::any_of(all.begin(), all.end(), [&](auto& s) { return s.second.kind == "comb" && s.second.addr == to; });
   };
+  a.sweep = set.lose;
   home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
   if (!c.web.empty()) {
     auto p = pages();
--- a/forager/forager_test.cpp
+++ b/forager/forager_test.cpp
@@ -220,6 +220,53 @@
   b.run(sec / 2);
   LONGS_EQUAL(1, count());
 }
+// An old connection lingers beside the new one of the same caller: what comes late over it is neither delivered
+// twice nor out of order, and each answer goes to the connection that asked.
+TEST(forager_seam, an_old_connection_beside_the_new_one_changes_nothing) {
+  auto b = seam();
+  CHECK(b.ok);
+  auto listener = b.open(2, "l"), old = b.open(0, "a"), fresh = b.open(1, "a");
+  listener->ask(R"({"op":"subscribe","topic":"alerts/x"})");
+  b.run(sec);
+  old->ask(R"({"op":"publish","topic":"alerts/x","seq":5,"body":"five"})");
+  fresh->ask(R"({"op":"publish","topic":"alerts/x","seq":5,"body":"five"})");  // it heard nothing and asks again
+  b.run(sec);
+  fresh->ask(R"({"op":"publish","topic":"alerts/x","seq":7,"body":"seven"})");
+  b.run(sec);
+  old->ask(R"({"op":"publish","topic":"alerts/x","seq":6,"body":"six"})");
+  old->ask(R"({"op":"publish","topic":"alerts/x","seq":5,"body":"five"})");
+  b.run(sec);
+  auto got = std::string();
+  for (const auto& t : listener->of("deliver"))
+    got += str(t, "body") + " ";
+  STRCMP_EQUAL("five seven ", got.c_str());
+  auto said = [](const tape& t) {
+    auto out = std::string();
+    for (const auto& v : t.of("verdict", "publish"))
+      out += std::to_string(num(v, "seq")) + (str(v, "verdict") == "acked" ? "+ " : "- " + str_or(v, "code") + " ");
+    return out;
+  };
+  CHECK(said(*old) == "5+ 6- below 5+ " || said(*old) == "5+ 5+ 6- below ");
+  STRCMP_EQUAL("5+ 7+ ", said(*fresh).c_str());
+}
+// No end of the link is told where a machine loses its power: its callers must leave the count all the same.
+TEST(forager_seam, subscribers_behind_a_machine_without_power_leave_the_count) {
+  auto b = seam();
+  CHECK(b.ok);
+  auto gone = b.open(0, "a"), here = b.open(1, "b");
+  for (auto& t : {gone, here})
+    t->ask(R"({"op":"subscribe","topic":"alerts/x"})");
+  b.run(sec);
+  auto count = [&] {
+    here->ask(R"({"op":"count","topic":"alerts/x"})");
+    b.run(sec / 2);
+    return num_or(here->of("verdict", "count").back(), "count", -1);
+  };
+  LONGS_EQUAL(2, count());
+  b.f.power(b.f.all.at(b.f.names("forager").at(0))->box->name, false);
+  b.run(20 * sec);
+  LONGS_EQUAL(1, count());
+}
 TEST(forager_seam, a_leaving_node_sends_links_to_a_ready_one_and_serves_until_then) {
   auto b = seam();
   CHECK(b.ok);
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -56,6 +56,7 @@
   refresh();
   auto a = answers();
   a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
+  a.sweep = set.lose;
   home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
   if (!c.web.empty()) {
     auto p = pages();
--- a/queen/realm_test.cpp
+++ b/queen/realm_test.cpp
@@ -107,19 +107,19 @@
     return hive::branch{{"k", k}, {"name", key}, {"kind", "evacuate"}, {"after", after}};
   };
   CHECK(hive::yes(r.apply(1, order("leave", 0)), "ok"));
-  STRCMP_EQUAL("overtaken", hive::str(r.apply(2, order("stay", 0)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(r.apply(2, order("stay", 0)), "code").c_str());
   CHECK(hive::yes(r.apply(3, order("stay", 1)), "ok"));
-  STRCMP_EQUAL("overtaken", hive::str(r.apply(4, order("leave", 0)), "code").c_str());
-  STRCMP_EQUAL("overtaken", hive::str(r.apply(5, order("leave", 1)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(r.apply(4, order("leave", 0)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(r.apply(5, order("leave", 1)), "code").c_str());
   CHECK(hive::yes(r.apply(6, order("stay", 3)), "repeat"));  // it found nothing to do and counts all the same
-  STRCMP_EQUAL("overtaken", hive::str(r.apply(7, order("leave", 3)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(r.apply(7, order("leave", 3)), "code").c_str());
   CHECK(hive::yes(r.apply(8, order("decline", 6)), "ok"));
-  STRCMP_EQUAL("overtaken", hive::str(r.apply(9, order("leave", 6)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(r.apply(9, order("leave", 6)), "code").c_str());
   CHECK(r.leavings.empty());
   auto again = hive::realm();
   again.restore(r.capture());
   CHECK(again.capture() == r.capture());
-  STRCMP_EQUAL("overtaken", hive::str(again.apply(10, order("leave", 6)), "code").c_str());
+  STRCMP_EQUAL("overtaken", hive::str_or(again.apply(10, order("leave", 6)), "code").c_str());
   CHECK(hive::yes(again.apply(11, order("leave", 8)), "ok"));
   // A snapshot of a version without a fence.
   auto old = r.capture();
--- a/wax/colleague.cpp
+++ b/wax/colleague.cpp
@@ -28,6 +28,11 @@
 
 namespace {
 
+// Sweeps without a byte until the other side is asked for a sign of life, and until its link ends. They are counted,
+// not timed: where this process stood still itself, nobody passes for silent.
+constexpr auto quiet_asked = 2;
+constexpr auto quiet_most = 5;
+
 // Reads frames in order until the link ends; a malformed one ends it (issue: bad input).
 auto frames(link_ptr way, std::function<void(const tree&)> fn, std::string me) -> task<void> {
   try {
@@ -86,7 +91,29 @@
   co_await pump(way, far);
 }
 
-auto guest(host& h, nest& home, link_ptr way, answers a, std::string me) -> task<void> {
+using wire_list = std::vector<std::weak_ptr<wire>>;
+
+// The dialling side alone keeps time by beats; where it hears enough it sends none.
+auto sweep_callers(host& h, std::shared_ptr<wire_list> callers, tick span, std::string me) -> task<void> {
+  while (true) {
+    co_await rest(h, span);
+    std::erase_if(*callers, [](const auto& c) { return c.expired(); });
+    for (const auto& c : *callers) {
+      auto w = c.lock();
+      if (!w || !w->live() || !w->replies) continue;
+      ++w->quiet;
+      if (w->quiet >= quiet_most) {
+        log(grade::note, me, w->who + " has been silent for long, its link ends");
+        w->drop();
+      } else if (w->quiet >= quiet_asked) {
+        w->tell(branch{{"op", "beat"}, {"n", h.now()}});
+      }
+    }
+  }
+}
+
+auto guest(host& h, nest& home, link_ptr way, answers a, std::string me, std::shared_ptr<wire_list> callers)
+    -> task<void> {
   try {
     auto first = std::optional<tree>();
     auto used = std::size_t{0};
@@ -107,10 +134,15 @@
     co_return way->close();
   }
   auto w = std::make_shared<wire>(way);
+  callers->emplace_back(w);
   auto fn = [&home, w, a, me](const tree& t) {
     auto op = str_or(t, "op");
+    w->quiet = 0;
     if (op == "hello") {
       w->who = str_or(t, "me");
+      w->replies = yes(t, "replies");
+    } else if (op == "beaten") {
+      // a sign of life, and nothing else
     } else if (op == "beat") {
       w->tell(branch{{"op", "beaten"}, {"n", sub(t, "n")}});
     } else if (auto id = num_or(t, "q", -1); id >= 0) {
@@ -126,9 +158,11 @@
 }  // namespace
 
 auto serve(host& h, nest& home, std::unique_ptr<door> d, answers a, std::string me) -> task<void> {
+  auto callers = std::make_shared<wire_list>();
+  if (a.sweep > 0) home.spawn(sweep_callers(h, callers, a.sweep, me));
   while (true) {
     auto way = co_await d->knocks.pop(h);
-    home.spawn(guest(h, home, way, a, me));
+    home.spawn(guest(h, home, way, a, me, callers));
   }
 }
 
@@ -154,7 +188,7 @@
     if (way) {
       if (over_hop) way->send(frame(branch{{"op", "relay"}, {"to", set.addr}}));
       auto w = std::make_shared<wire>(way);
-      w->tell(branch{{"op", "hello"}, {"me", set.me}});
+      w->tell(branch{{"op", "hello"}, {"me", set.me}, {"replies", true}});
       line = w;
       last = h.now();
       auto since = last;
@@ -212,7 +246,12 @@
     it->second->done.wake();
     return;
   }
-  if (str_or(t, "op") != "beaten" && on_note) on_note(t);
+  auto op = str_or(t, "op");
+  if (op == "beat") {
+    if (line) line->tell(branch{{"op", "beaten"}, {"n", sub(t, "n")}});
+  } else if (op != "beaten" && on_note) {
+    on_note(t);
+  }
 }
 
 auto colleague::fall() -> void {
--- a/wax/colleague.hpp
+++ b/wax/colleague.hpp
@@ -29,7 +29,9 @@
   auto drop() -> void {
     if (way) way->close();
   }
-  std::string who;  // the name the other side gave in its hello
+  std::string who;       // the name the other side gave in its hello
+  bool replies = false;  // the other side answers beats, said in its hello
+  int quiet = 0;         // sweeps of the accepting side since it last heard anything
   link_ptr way;
 };
 using wire_ptr = std::shared_ptr<wire>;
@@ -40,6 +42,9 @@
   std::function<void(const wire_ptr&, const tree&)> note;  // one-way, in order of sending
   std::function<void(const wire_ptr&)> gone;               // the link ended
   std::function<bool(const std::string&)> may_relay;       // is this the address of a member?
+  // The span between two sweeps for links whose other side has vanished without a word (its machine lost its power,
+  // or a cut lasts): it is asked for a sign of life and, if none comes, its link ends. 0: such links stay.
+  tick sweep = 0;
 };
 
 // Accepts colleagues' links and serves them until the nest ends.
--- a/wax/evhost_test.cpp
+++ b/wax/evhost_test.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "wax/aside.hpp"
+#include "wax/colleague.hpp"
 #include "wax/ring.hpp"
 #include "wax/verdict.hpp"
 
@@ -150,6 +151,26 @@
   }
   std::filesystem::remove_all(dir);
 }
+namespace {
+// Listens on a free port of this machine; `addr` says which.
+auto listen_somewhere(evhost& h, std::string& addr) -> std::unique_ptr<door> {
+  for (auto port = 24100; port < 24200; ++port) {
+    addr = "127.0.0.1:" + std::to_string(port);
+    try {
+      return h.listen(addr);
+    } catch (const verdict&) {
+    }
+  }
+  return nullptr;
+}
+// A loop of its own that listens on this machine.
+struct loopback {
+  evhost h{""};
+  nest home{h};
+  std::string addr;
+  std::unique_ptr<door> at = listen_somewhere(h, addr);
+};
+}  // namespace
 TEST_GROUP(real_net){};
 // Where nobody listens the machine says so at once; a dial that runs out of time tells nothing.
 TEST(real_net, a_refused_dial_is_told_from_a_silent_one) {
@@ -172,14 +193,7 @@
   auto got = std::string();
   auto calls = std::uint64_t{0};
   auto addr = std::string();
-  auto d = std::unique_ptr<door>();
-  for (auto port = 24100; !d && port < 24200; ++port) {
-    addr = "127.0.0.1:" + std::to_string(port);
-    try {
-      d = h.listen(addr);
-    } catch (const verdict&) {
-    }
-  }
+  auto d = listen_somewhere(h, addr);
   CHECK(d != nullptr);
   home.spawn([](evhost& hh, std::string to, std::uint64_t& n) -> task<void> {
     auto way = co_await hh.dial(to, hh.now() + sec);
@@ -206,3 +220,179 @@
   STRCMP_EQUAL("012345678", got.substr(0, 9).c_str());
   STRCMP_EQUAL("x", got.substr(100).c_str());
 }
+
+// After a freeze an order and the end of its caller's link are both there, and the order is read first.
+TEST(real_net, the_end_is_told_where_it_stands_behind_bytes) {
+  auto s = loopback();
+  auto before = true, after = false;
+  auto read = std::string();
+  s.home.spawn([](evhost& hh, std::string to, door& at, bool& early, bool& end, std::string& got) -> task<void> {
+    auto caller = co_await hh.dial(to, hh.now() + sec);
+    auto way = co_await at.knocks.pop(hh);
+    early = way->ended();
+    caller->send("order");
+    caller->close();
+    ::usleep(20000);  // the loop has no turn in between, as in a freeze
+    co_await way->more(hh.now() + sec);
+    got = way->in;
+    end = way->ended();
+    hh.end();
+  }(s.h, s.addr, *s.at, before, after, read));
+  s.h.run();
+  CHECK(!before);
+  STRCMP_EQUAL("order", read.c_str());
+  CHECK(after);
+}
+
+namespace {
+// The other side of a colleague, written by hand: what it is asked, and over which of its links.
+class scripted_peer {
+ public:
+  scripted_peer(evhost& h, nest& n) : host_(h), home(n), at(listen_somewhere(h, addr)) { home.spawn(take()); }
+  auto answer(std::size_t link_no, std::int64_t id, const char* what) -> void {
+    links.at(link_no)->send(frame(branch{{"r", id}, {"v", branch{{"said", what}}}}));
+  }
+  std::string addr;
+  std::vector<link_ptr> links;
+  std::vector<std::pair<std::size_t, std::int64_t>> asked;  // the link and the request's id
+  bool deaf = false;                                        // answers no beats
+
+ private:
+  auto take() -> task<void> {
+    while (true) {
+      auto way = co_await at->knocks.pop(host_);
+      links.push_back(way);
+      home.spawn(serve(way, links.size() - 1));
+    }
+  }
+  auto serve(link_ptr way, std::size_t no) -> task<void> {
+    while (true) {
+      auto used = std::size_t{0};
+      while (auto t = unframe(way->in, used)) {
+        if (str_or(*t, "op") == "beat" && !deaf) way->send(frame(branch{{"op", "beaten"}}));
+        if (auto id = num_or(*t, "q", -1); id >= 0) asked.emplace_back(no, id);
+      }
+      way->in.erase(0, used);
+      auto live = co_await way->more();
+      if (!live) co_return;
+    }
+  }
+  evhost& host_;
+  nest& home;
+  std::unique_ptr<door> at;
+};
+// One request; what came of it stands in `out` once it has ended.
+auto request_of(colleague& c, const char* op, tick until, std::string& out) -> task<void> {
+  try {
+    auto q = tree(branch{{"op", op}});
+    auto r = co_await c.ask(std::move(q), until);
+    out = str(r, "said");
+  } catch (const verdict& v) {
+    out = v.code;
+  }
+}
+auto until_up(evhost& h, colleague& c) -> task<void> {
+  while (!c.up())
+    co_await rest(h, msec);
+}
+constexpr auto beat_span = 20 * msec;
+constexpr auto lose_span = 120 * msec;
+}  // namespace
+namespace {
+// A request is under way when its link is lost; the next goes over another link. Meanwhile answers to both come that
+// belong to neither: over the link given up, and to the first over the second link.
+auto ask_across_a_loss(evhost& h, nest& home, scripted_peer& p, colleague& c, bool reset, std::string& first,
+                       std::string& second) -> task<void> {
+  co_await until_up(h, c);
+  home.spawn(request_of(c, "one", h.now() + 2 * sec, first));
+  while (p.asked.empty())
+    co_await rest(h, msec);
+  if (reset) p.links[0]->close();
+  p.deaf = true;
+  while (first.empty())
+    co_await rest(h, msec);
+  p.deaf = false;
+  while (p.links.size() < 2)
+    co_await rest(h, msec);
+  co_await until_up(h, c);
+  home.spawn(request_of(c, "two", h.now() + sec, second));
+  while (p.asked.size() < 2)
+    co_await rest(h, msec);
+  p.answer(0, p.asked[0].second, "to the first");
+  p.answer(0, p.asked[1].second, "over the wrong link");
+  p.answer(1, p.asked[0].second, "to the first");
+  co_await rest(h, 5 * msec);
+  p.answer(1, p.asked[1].second, "to the second");
+  while (second.empty())
+    co_await rest(h, msec);
+  h.end();
+}
+}  // namespace
+// A request whose link was reset or fell silent has no clear answer and is not sent again by itself; what is said of
+// it later is not taken for the answer to another.
+TEST(real_net, an_answer_of_an_earlier_link_is_not_taken_for_a_later_request) {
+  for (auto reset : {true, false}) {
+    auto h = evhost("");
+    auto home = nest(h);
+    auto peer = scripted_peer(h, home);
+    auto c = colleague(h, {"test", peer.addr, beat_span, lose_span});
+    auto first = std::string(), second = std::string();
+    home.spawn(ask_across_a_loss(h, home, peer, c, reset, first, second));
+    h.run();
+    STRCMP_EQUAL("unclear", first.c_str());
+    STRCMP_EQUAL("to the second", second.c_str());
+    LONGS_EQUAL(2, peer.asked.size());
+  }
+}
+// Answers come in any order, each to who asked, also where one of them has given up.
+TEST(real_net, answers_out_of_order_go_to_who_asked) {
+  auto h = evhost("");
+  auto home = nest(h);
+  auto peer = scripted_peer(h, home);
+  auto c = colleague(h, {"test", peer.addr, beat_span, lose_span});
+  auto said = std::array<std::string, 3>();
+  home.spawn([](evhost& hh, nest& n, scripted_peer& p, colleague& cc, std::array<std::string, 3>& o) -> task<void> {
+    co_await until_up(hh, cc);
+    n.spawn(request_of(cc, "a", hh.now() + sec, o[0]));
+    n.spawn(request_of(cc, "b", hh.now() + 10 * msec, o[1]));
+    n.spawn(request_of(cc, "c", hh.now() + sec, o[2]));
+    while (p.asked.size() < 3 || o[1].empty())
+      co_await rest(hh, msec);
+    p.answer(0, p.asked[1].second, "to b");
+    p.answer(0, p.asked[2].second, "to c");
+    p.answer(0, p.asked[0].second, "to a");
+    while (o[0].empty() || o[2].empty())
+      co_await rest(hh, msec);
+    hh.end();
+  }(h, home, peer, c, said));
+  h.run();
+  STRCMP_EQUAL("to a", said[0].c_str());
+  STRCMP_EQUAL("unclear", said[1].c_str());
+  STRCMP_EQUAL("to c", said[2].c_str());
+}
+// The number of a closed descriptor is given out again at once: nothing of the old stream may show in the new one.
+TEST(real_net, a_reused_descriptor_carries_nothing_of_the_link_before) {
+  auto s = loopback();
+  auto strange = 0, rounds = 0;
+  s.home.spawn([](evhost& hh, std::string to, door& at, int& bad, int& n) -> task<void> {
+    for (; n < 50; ++n) {
+      auto old = co_await hh.dial(to, hh.now() + sec);
+      auto old_end = co_await at.knocks.pop(hh);
+      old_end->send(std::string(100000, 'x'));  // more than one turn reads: events are still due
+      co_await old->more(hh.now() + sec);
+      old.reset();
+      auto next = co_await hh.dial(to, hh.now() + sec);
+      auto next_end = co_await at.knocks.pop(hh);
+      old_end->send(std::string(1000, 'x'));
+      next_end->send("yyyy");
+      while (next->in.size() < 4 && !next->shut)
+        co_await next->more(hh.now() + sec);
+      co_await nap(hh, 0);
+      bad += next->in != "yyyy" || next->shut;
+    }
+    hh.end();
+  }(s.h, s.addr, *s.at, strange, rounds));
+  s.h.run();
+  LONGS_EQUAL(50, rounds);
+  LONGS_EQUAL(0, strange);
+}
