--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -56,6 +56,7 @@
   refresh();
   auto a = answers();
   a.ask = [this](wire_ptr w, tree t) { return ask(std::move(w), std::move(t)); };
+  a.sweep = set.lose;
   home.spawn(serve(h, home, h.listen(c.addr), a, c.name));
   if (!c.web.empty()) {
     auto p = pages();
@@ -689,92 +690,6 @@
   co_return response{200, out, {}};
 }
 
-auto queen::page_leave(request r) -> task<response> {
-  if (r.verb == "GET") {
-    auto q = tree(branch{{"op", "fresh"}});
-    auto out = co_await ask(nullptr, std::move(q));
-    auto now = realm();
-    now.restore(sub(out, "realm"));
-    auto rows = branch();
-    for (const auto& [n, l] : now.leavings) {
-      // Of a zone the ledger knows no nodes: what is left there is what those in reach hold.
-      auto zone = zone_of_key(n);
-      auto ids = std::set<std::string>();
-      if (zone.empty()) {
-        for (const auto& id : now.held_by(n))
-          ids.insert(id);
-      } else {
-        for (const auto& [m, s] : known.all())
-          if (s.kind == "comb" && s.zone == zone)
-            for (const auto& id : now.held_by(m))
-              ids.insert(id);
-      }
-      auto left = twigs();
-      for (const auto& id : ids)
-        left.emplace_back(id);
-      rows[n] = branch{{"kind", l.kind}, {"done", zone.empty() ? l.done : ids.empty()}, {"left", left}};
-    }
-    co_return response{200, rows, {}};
-  }
-  auto ec = boost::json::error_code();
-  auto t = boost::json::parse(r.body, ec);
-  if (ec || !t.is_object()) throw verdict("malformed", "the body is no JSON object");
-  for (const auto& kv : t.get_object())
-    if (kv.key() != "name" && kv.key() != "zone" && kv.key() != "kind" && kv.key() != "copies")
-      throw verdict("malformed", "unknown field " + std::string(kv.key()));
-  auto whole_zone = sub(t, "zone").is_string();
-  if (whole_zone == sub(t, "name").is_string()) throw verdict("malformed", "either name or zone is wanted");
-  auto name = whole_zone ? zone_key(str(t, "zone")) : str(t, "name");
-  if (!whole_zone && !zone_of_key(name).empty()) throw verdict("malformed", "'" + name + "' is no name of a node");
-  auto kind = str_or(t, "kind", whole_zone ? "evacuate" : "drain");
-  if (kind != "drain" && kind != "evacuate" && kind != "retire")
-    throw verdict("malformed", "kind is drain, evacuate or retire");
-  auto copies = std::int64_t{2};
-  if (const auto& v = sub(t, "copies"); v.is_int64() && v.get_int64() > 0)
-    copies = v.get_int64();
-  else if (!v.is_null())
-    throw verdict("malformed", "copies wants a number above 0");
-  if (r.path == "/v1/stay") {
-    auto d = tree(branch{{"k", "stay"}, {"name", name}});
-    auto out = co_await deed(std::move(d));
-    if (!yes(out, "ok")) throw verdict::from_tree(out);
-    co_return response{200, out, {}};
-  }
-  if (whole_zone) {
-    auto d = tree(branch{{"k", "leave"}, {"name", name}, {"kind", kind}});
-    auto out = co_await deed(std::move(d));
-    if (!yes(out, "ok")) throw verdict::from_tree(out);
-    if (!zones().count(str(t, "zone"))) out.as_object()["warn"] = "no node of zone " + str(t, "zone") + " is known now";
-    co_return response{200, out, {}};
-  }
-  auto known_here = false;
-  for (const auto& [id, c] : law.cells)
-    known_here |= name_of(c.prim) == name || name_of(c.back) == name;
-  if (const auto* s = known.find(name); s && s->kind == "comb") known_here = true;
-  if (!known_here && !law.leavings.count(name)) throw verdict("not_found", "no comb " + name + " is known");
-  auto d = branch{{"k", "leave"}, {"name", name}, {"kind", kind}};
-  auto under_way = law.leavings.count(name) && law.leavings[name].kind == "retire";
-  if (kind == "retire" && !under_way) {
-    for (const auto& [id, c] : law.cells) {
-      auto has = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) { return name_of(m) == name; });
-      auto other = std::any_of(c.step.begin(), c.step.end(), [&](auto& m) {
-        const auto* s = known.find(name_of(m));
-        return name_of(m) != name && s && s->member() == m;
-      });
-      if (has && !other)
-        throw verdict("last_copy", name + " holds the last copy in step of " + id + " that is in reach", ran::no,
-                      set.lose / msec);
-    }
-    auto rest = rest_without(name);
-    if (auto why = law.too_few(rest, copies); !why.empty()) throw verdict("too_few", why);
-    d["rest"] = rest;
-    d["copies"] = copies;
-  }
-  auto out = co_await deed(std::move(d));
-  if (!yes(out, "ok")) throw verdict::from_tree(out);
-  co_return response{200, out, {}};
-}
-
 auto queen::page(request r) -> task<response> {
   if (auto p = common_page(r.path, [this] { return status(); })) co_return *p;
   if (r.path == "/readyz") {
