--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -143,14 +143,21 @@
   return {branch{{"k", "c"}, {"d", ms}}};
 }
 
-auto cell::law_entry() -> std::optional<tree> {
+// What the newest configuration alters for this cell. Most alter nothing: then nothing is logged.
+auto cell::law_entry() const -> std::optional<tree> {
   const auto& law = g.ses.known.law;
   if (!law || law->number <= state.law) return {};
   auto it = law->pools.find(id.substr(0, id.find('/')));
   auto keep = it == law->pools.end() ? state.keep : it->second.keep_ms;
+  if (keep == state.keep && g.set.resend / msec == state.resend) return {};
   return branch{{"k", "l"}, {"keep", keep}, {"resend", g.set.resend / msec}, {"n", law->number}};
 }
 
+auto cell::law() const -> std::int64_t {
+  const auto& newest = g.ses.known.law;
+  return newest && !law_entry() ? std::max(state.law, newest->number) : state.law;
+}
+
 // The Output Rule: nothing above this index may leave (paper 2.2). A kept
 // cell also wants its own and its pair's disk to have it; alone it says nothing.
 auto cell::safe() const -> std::int64_t {
@@ -1131,7 +1138,7 @@
                 {"pending", outs.size()},
                 {"spoken", spoken},
                 {"copies", ms},
-                {"charter", state.law}};
+                {"charter", law()}};
 }
 
 }  // namespace hive
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -58,7 +58,7 @@
   auto wipe() -> void;
   [[nodiscard]] auto live() const -> bool { return role == part::prim; }
   [[nodiscard]] auto stand() const -> tree;
-  [[nodiscard]] auto law() const -> std::int64_t { return state.law; }
+  [[nodiscard]] auto law() const -> std::int64_t;  // the number of the configuration that it works by
   [[nodiscard]] auto usage() const -> std::int64_t { return admitted; }
   auto meet(const cell_row& r) -> void;  // the ledger's word, as the session brings it
   const std::string id;
@@ -104,7 +104,7 @@
   auto release() -> void;
   auto dispatch(pending& p) -> void;
   auto clock_entry() -> std::vector<tree>;
-  auto law_entry() -> std::optional<tree>;
+  [[nodiscard]] auto law_entry() const -> std::optional<tree>;
   auto watch() -> task<void>;
   auto settle() -> task<void>;
   auto replay() -> task<void>;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -95,12 +95,12 @@
   news.wake();
 }
 
-// A version counts from when it was agreed on: the leader alone sees that, and only of what it proposed itself.
+// A version counts from when it was agreed on, rounded down. One that this queen applied before its lead was settled
+// is timed anew then, before it gives any lease.
 auto queen::time_version(const configuration_ptr& before) -> void {
   if (!law.law || law.law == before || !book.leads()) return;
   const auto step = set.lease / version_steps;
-  auto due = book.settled() ? h.now() / step * step + set.lease : h.now();
-  deadlines.add(law.law->number, due);
+  deadlines.add(law.law->number, h.now() / step * step + set.lease);
 }
 
 auto queen::versions_to_tree(tick since, bool timed) const -> branch {
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -18,6 +18,16 @@
   return R"({"name":"alerts","keep_s":)" + std::to_string(keep) + R"(,"urgency":9,"cells":)" + c +
          R"(},{"name":"lookups","keep_s":)" + std::to_string(keep_low) + R"(,"urgency":1,"cells":)" + c + "}";
 }
+auto shape::all_spaces() const -> std::string {
+  auto out = spaces();
+  for (auto i = 0; i < extra_spaces; ++i) {
+    auto name = "extra-" + std::to_string(i);
+    out += R"(,{"name":")" + name + R"(","prefix":"kafi810-)" + name + R"(.","pool":"alerts","keep_s":)" +
+           std::to_string(keep) + R"(,"urgency":1,"cells":)" + std::to_string(cells) + R"(,"order":"topic",)" +
+           R"("timeout_ms":1500,"aim_ms":150})";
+  }
+  return out;
+}
 
 fleet::fleet(std::uint64_t s, shape sh) : world(s), form(std::move(sh)), seed(s) {
   shown_clock = &world.clock;
@@ -265,6 +275,18 @@
   return {};
 }
 
+auto fleet::lagging(std::int64_t n) const -> std::string {
+  for (const auto& [name, p] : all) {
+    auto held = configuration_ptr();
+    if (p->q) held = p->q->law.law;
+    if (p->c) held = p->c->ses.known.law;
+    if (p->s) held = p->s->ses.known.law;
+    if (p->f) held = p->f->ses.known.law;
+    if (p->up() && (!held || held->number < n)) return name;
+  }
+  return {};
+}
+
 auto fleet::primary_of(const std::string& cell) const -> std::string {
   for (const auto& [n, p] : all)
     if (p->c)
@@ -367,7 +389,7 @@
   }(*this, std::move(fn)));
 }
 
-auto fleet::next_charter() -> std::string { return probe_charter(++number, form.spaces()); }
+auto fleet::next_charter() -> std::string { return probe_charter(++number, form.all_spaces()); }
 
 auto fleet::begin() -> bool {
   for (auto& [n, p] : all)
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -22,9 +22,11 @@
   double spikes = 0;
   bool holds = false;
   std::int64_t cells = 2, keep = 35, keep_low = 0;  // keep_low: of the space without urgency
+  std::int64_t extra_spaces = 0;                    // beside those that callers use: a configuration may be large
   [[nodiscard]] auto spaces() const -> std::string;
-  std::map<std::string, std::int64_t> budgets;  // milliseconds by space, where there is no fault
-  std::map<std::string, std::string> set;       // settings laid over the defaults
+  [[nodiscard]] auto all_spaces() const -> std::string;  // the extra ones too
+  std::map<std::string, std::int64_t> budgets;           // milliseconds by space, where there is no fault
+  std::map<std::string, std::string> set;                // settings laid over the defaults
 };
 
 class fleet {
@@ -58,6 +60,8 @@
   // How many queens' disks hold this text, synced; and who may still serve by an older charter.
   [[nodiscard]] auto queens_with(const std::string& body) const -> int;
   [[nodiscard]] auto behind(std::int64_t number) const -> std::string;
+  // A process that runs and holds a configuration older than this; empty: none.
+  [[nodiscard]] auto lagging(std::int64_t number) const -> std::string;
   [[nodiscard]] auto primary_of(const std::string& cell) const -> std::string;
   [[nodiscard]] auto backup_of(const std::string& cell) const -> std::string;
   [[nodiscard]] auto busiest() const -> std::string;
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -146,6 +146,95 @@
   f.world.run(f.world.clock + 2 * sec);
   CHECK(ses.may_serve());
 }
+namespace {
+// A session with a control node that answers as `answer` says, run for a while.
+struct lone_session {
+  fleet f;
+  sim_host there, here;
+  nest upper;
+  branch answer;
+  std::unique_ptr<session> node;
+  explicit lone_session(branch first)
+      : f(26, quiet_shape()),
+        there(f.world, f.world.machine_at("x1", "out"), false, 5),
+        here(f.world, *f.world.machines.at("outside"), false, 6),
+        upper(there),
+        answer(std::move(first)) {
+    auto addr = f.world.machine_at("x1", "out").ip + ":7000";
+    auto a = answers();
+    a.ask = [this](wire_ptr, tree) -> task<tree> { co_return answer; };
+    upper.spawn(serve(there, upper, there.listen(addr), a, "test"));
+    node = std::make_unique<session>(here, f.all.at("scout-1")->set, std::vector<std::string>(1, addr));
+  }
+  auto run(tick span) -> void { f.world.run(f.world.clock + span); }
+};
+}  // namespace
+// A version that is not due yet does not stop a node that holds the one before.
+TEST(protections, an_older_version_serves_until_the_newer_is_due) {
+  auto first = branch{{"lease", 10 * sec}, {"need", 4}, {"newest", 4}, {"cells_need", 0}};
+  first["charter"] = probe_charter(4, shape().spaces());
+  auto s = lone_session(first);
+  s.run(sec);
+  CHECK(s.node->may_serve());
+  s.answer["newest"] = 5;
+  s.answer["due"] = twigs{twigs{5, 3 * sec}};
+  s.run(2 * sec);
+  s.answer = branch{{"lease", 0}};  // as if cut off: the lease that it has runs on
+  CHECK(s.node->may_serve());
+  s.run(4 * sec);
+  CHECK(s.node->leased());
+  CHECK(!s.node->may_serve());
+}
+// What has just started goes by nothing older than the newest that a majority had agreed on.
+TEST(protections, a_new_node_begins_with_the_newest_version) {
+  auto first =
+      branch{{"lease", 2 * sec}, {"need", 3}, {"newest", 5}, {"due", twigs{twigs{5, 60 * sec}}}, {"cells_need", 0}};
+  first["charter"] = probe_charter(4, shape().spaces());
+  auto s = lone_session(first);
+  s.run(sec);
+  CHECK(s.node->leased());
+  CHECK(!s.node->may_serve());
+  s.answer["charter"] = probe_charter(5, shape().spaces());
+  s.run(sec);
+  CHECK(s.node->may_serve());
+}
+// When the leader before it had versions agreed on is not known to a new one: it wants them at once.
+TEST(protections, a_new_leader_wants_what_it_found_in_force_at_once) {
+  auto f = fleet(31, quiet_shape());
+  CHECK(f.begin());
+  f.world.run(f.world.clock + 2 * sec);
+  auto body = f.next_charter();
+  auto told = std::make_shared<bool>(false);
+  f.operate([&f, body, told](keeper& k) -> task<void> {
+    *told = co_await k.put(2, body);
+    f.world.stop = true;
+  });
+  while (!*told)
+    f.world.run(f.world.clock + 10 * msec);
+  auto agreed = f.world.clock;
+  f.kill(f.leader());
+  auto need = std::make_shared<std::int64_t>(-1);
+  while (*need < 0 && f.world.clock < agreed + 10 * sec) {
+    f.world.run(f.world.clock + 10 * msec);
+    auto lead = f.leader();
+    if (lead.empty()) continue;
+    f.desk->spawn([](fleet& fl, std::string to, std::shared_ptr<std::int64_t> o) -> task<void> {
+      auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
+      while (!link.up())
+        co_await rest(*fl.outside, msec);
+      auto me = seat();
+      me.name = "node-9";
+      me.kind = "forager";
+      me.zone = "z1";
+      auto q = tree(branch{{"op", "session"}, {"me", me.to_tree()}, {"vec", branch()}, {"deadlines", true}});
+      auto r = co_await link.ask(std::move(q), fl.outside->now() + sec);
+      if (num_or(r, "lease", 0) > 0) *o = num(r, "need");
+    }(f, f.all.at(lead)->set.addr, need));
+    f.world.run(f.world.clock + 50 * msec);
+  }
+  CHECK(f.world.clock < agreed + f.all.at("queen-1")->set.lease);  // not yet due by the time that it was agreed on
+  LONGS_EQUAL(2, *need);
+}
 // A vote from a disk other than the one seated does not count: it may have voted before it was lost.
 TEST(protections, an_amnesiac_elects_nobody) {
   auto f = fleet(27, quiet_shape());
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -13,11 +13,11 @@
 namespace {
 
 const auto verbs = std::map<std::string, std::size_t>{
-    {"kill", 1},   {"start", 1},  {"term", 1},     {"freeze", 1}, {"power", 1},    {"cut", 2},
-    {"oneway", 2}, {"island", 1}, {"losedisk", 1}, {"flip", 2},   {"reset", 1},    {"charter", 0},
-    {"stale", 0},  {"bad", 0},    {"race", 0},     {"leave", 2},  {"slow", 2},     {"loss", 1},
-    {"add", 0},    {"probe", 0},  {"full", 1},     {"roll", 1},   {"settings", 3}, {"evacuate", 0},
-    {"clear", 1},  {"grow", 0},   {"replace", 1},  {"step", 2},   {"riskdisk", 1}, {"riskflip", 2}};
+    {"kill", 1},     {"start", 1},    {"term", 1},     {"freeze", 1}, {"power", 1},   {"cut", 2},     {"oneway", 2},
+    {"island", 1},   {"losedisk", 1}, {"flip", 2},     {"reset", 1},  {"charter", 0}, {"stale", 0},   {"bad", 0},
+    {"race", 0},     {"leave", 2},    {"slow", 2},     {"loss", 1},   {"add", 0},     {"probe", 0},   {"full", 1},
+    {"roll", 1},     {"settings", 3}, {"evacuate", 0}, {"clear", 1},  {"grow", 0},    {"replace", 1}, {"step", 2},
+    {"riskdisk", 1}, {"riskflip", 2}, {"changes", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -67,11 +67,17 @@
   auto need = [&](std::size_t n) {
     if (w.size() != n + 1) throw verdict("scene", "'" + w[0] + "' wants " + std::to_string(n) + " words after it");
   };
-  auto whole = std::map<std::string, std::int64_t*>{{"zones", &s.form.zones},       {"queens", &s.form.queens},
-                                                    {"combs", &s.form.combs},       {"foragers", &s.form.foragers},
-                                                    {"callers", &s.form.callers},   {"topics", &s.form.topics},
-                                                    {"pipeline", &s.form.pipeline}, {"cells", &s.form.cells},
-                                                    {"keep", &s.form.keep},         {"keep_low", &s.form.keep_low}};
+  auto whole = std::map<std::string, std::int64_t*>{{"zones", &s.form.zones},
+                                                    {"queens", &s.form.queens},
+                                                    {"combs", &s.form.combs},
+                                                    {"foragers", &s.form.foragers},
+                                                    {"callers", &s.form.callers},
+                                                    {"topics", &s.form.topics},
+                                                    {"pipeline", &s.form.pipeline},
+                                                    {"cells", &s.form.cells},
+                                                    {"keep", &s.form.keep},
+                                                    {"keep_low", &s.form.keep_low},
+                                                    {"extra_spaces", &s.form.extra_spaces}};
   if (auto it = whole.find(w[0]); it != whole.end()) {
     need(1);
     *it->second = static_cast<std::int64_t>(number(w[1]));
@@ -353,6 +359,8 @@
       f.start("forager-" + n);
     } else if (c.verb == "charter" || c.verb == "stale" || c.verb == "bad" || c.verb == "race") {
       charters(c.verb);
+    } else if (c.verb == "changes") {
+      changes(static_cast<std::int64_t>(number(a[0])), to_tick(a[1]));
     } else if (c.verb == "probe") {
       auto n = f.number;
       f.operate([n](keeper& k) -> task<void> { co_await k.probe_all(std::max<std::int64_t>(1, n - 5), n); });
@@ -385,6 +393,40 @@
     }
   }
 
+  // Once a change is acknowledged, nobody may serve by an older one for longer than a lease lasts.
+  auto expect_in_force(std::int64_t n) -> void {
+    auto lease = f.all.begin()->second->set.lease;
+    f.world.later(f.world.clock + lease, [this, n] {
+      if (f.behind(n).empty()) return;
+      ++counts["late_in_force"];
+      log(grade::warn, "scene", f.behind(n) + " may serve by an older configuration than " + std::to_string(n));
+    });
+  }
+  // So many changes of the configuration, one each gap, whether or not the ones before are answered.
+  auto changes(std::int64_t count, tick gap) -> void {
+    for (auto i = std::int64_t{0}; i < count; ++i)
+      f.world.later(f.world.clock + i * gap, [this, last = i + 1 == count] { change(last); });
+  }
+  auto change(bool last) -> void {
+    auto body = f.next_charter();
+    auto n = f.number;
+    f.operate([this, n, body, last](keeper& k) -> task<void> {
+      auto sent = f.world.clock;
+      auto ok = co_await k.put(n, body);
+      auto took = (f.world.clock - sent) / msec;
+      // One that a newer change came before is refused as stale: only the last must be taken.
+      ++counts[ok ? "changes_acked" : last ? "last_change_lost" : "changes_overtaken"];
+      if (ok) counts["ack_ms"] = std::max(counts["ack_ms"], took);
+      if (ok) expect_in_force(n);
+      if (!last || !ok) co_return;
+      auto acked = f.world.clock;
+      while (!f.lagging(n).empty())
+        co_await rest(*f.outside, 5 * msec);
+      counts["catch_up_ms"] = (f.world.clock - acked) / msec;
+      ++counts["caught_up"];
+    });
+  }
+
   auto charters(const std::string& verb) -> void {
     auto* cs = &counts;
     if (verb == "stale") {
@@ -416,13 +458,14 @@
     for (auto i = 0; i < runs; ++i) {
       // Racing operators send different contents under one number; one may win.
       auto mine = i == 0 ? body : probe_charter(n, f.form.spaces() + R"(,{"name":"other","keep_s":0,"cells":1})");
-      f.operate([n, mine, cs, fl = &f](keeper& k) -> task<void> {
+      f.operate([this, n, mine, cs, fl = &f](keeper& k) -> task<void> {
         auto ok = co_await k.put(n, mine);
         if (!ok) {
           ++(*cs)["charter_lost"];
           co_return;
         }
         ++(*cs)["charter_won"];
+        expect_in_force(n);
         if (fl->number == n && fl->form.queens >= 3 && fl->queens_with(mine) < 2) ++(*cs)["thin_charter"];
         auto held = co_await k.await_held(n, never / 2);
         if (!held) co_return;
@@ -683,6 +726,8 @@
   };
   counts["sends"] = each(0);  // each second
   counts["wakes"] = each(3);
+  counts["kbytes"] = each(1) / 1000;
+  counts["syncs"] = each(2);
   counts["lag_ms"] = lag;
   counts["disk_rows"] = static_cast<std::int64_t>(rows);
   // Half of all runs close with one last fault: all power goes while callers are at it.
@@ -732,6 +777,9 @@
     out.bad.push_back("accepted: a charter was told accepted while fewer than two disks held it");
   if (counts["held_early"])
     out.bad.push_back("held: a charter was told to have taken hold while a forager could serve by an older one");
+  if (counts["late_in_force"])
+    out.bad.push_back("in force: an acknowledged charter was not in force everywhere within a lease");
+  if (counts["last_change_lost"]) out.bad.push_back("in force: the last of many changes was refused");
   if (counts["stale_taken"]) out.bad.push_back("a stale charter was taken");
   if (counts["bad_taken"]) out.bad.push_back("an invalid charter was taken");
   for (const auto& [k, v] : s.wants) {
@@ -742,8 +790,10 @@
                         ", saw " + std::to_string(counts[key]));
   }
   auto facts = std::ostringstream();
-  for (auto k : {"try", "acked", "got", "gone", "probe", "held", "left", "epochs", "slow", "full", "alerts_p50_ms",
-                 "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms", "lag_ms"})
+  for (auto k : {"try",           "acked",         "got",           "gone",           "probe",
+                 "held",          "left",          "epochs",        "slow",           "full",
+                 "alerts_p50_ms", "alerts_p99_ms", "alerts_max_ms", "lookups_p99_ms", "lookups_max_ms",
+                 "lag_ms",        "changes_acked", "ack_ms",        "catch_up_ms",    "no_lease"})
     if (counts[k]) facts << k << ' ' << counts[k] << ' ';
   facts << "sends/s " << each(0) << " kB/s " << each(1) / 1000 << " syncs/s " << each(2) << " wakes/s " << each(3)
         << ' ';
