--- a/meadow/caller.cpp
+++ b/meadow/caller.cpp
@@ -281,13 +281,39 @@
   }
 }
 
-auto keeper::leave(std::string name, std::string kind, tick until) -> task<bool> {
+auto keeper::send_once(std::string queen, std::string verb, std::string path, std::string body) -> task<std::string> {
+  constexpr auto answered_within = 2 * sec;
+  auto r = co_await fetch(h, queen, verb, path, body, h.now() + answered_within);
+  if (r.code == 200) co_return "taken";
+  // Operators are told of a last copy at once, as of a refusal.
+  if (r.code >= 500 && str_or(r.body, "code") != "last_copy") co_return "retry";
+  co_return r.code > 0 ? "refused" : "late";
+}
+auto keeper::put_once(std::string queen, std::int64_t number, std::string body) -> task<std::string> {
+  auto kind = co_await send_once(std::move(queen), "PUT", "/v1/charter", body);
+  if (kind == "taken") log.note(h, branch{{"e", "put"}, {"number", number}, {"sum", sum_of(boost::json::parse(body))}});
+  co_return kind;
+}
+auto keeper::leave_once(std::string queen, std::string name, std::string kind) -> task<std::string> {
+  auto body = text(branch{{"name", name}, {"kind", kind}});
+  co_return co_await send_once(std::move(queen), "POST", "/v1/leave", body);
+}
+// What it reads is judged as any other read: never older than what was acknowledged before.
+auto keeper::read_once(std::string queen) -> task<std::string> {
+  auto t0 = h.now();
+  auto read = co_await pull(queen, h.now() + 2 * sec);
+  if (read) co_return "taken";
+  co_return h.now() - t0 < 2 * sec ? "retry" : "late";
+}
+
+auto keeper::leave(std::string name, std::string kind, tick until, std::function<void()> accepted) -> task<bool> {
   auto body = text(branch{{"name", name}, {"kind", kind}});
   auto task_name = "leaving of " + name + " try " + std::to_string(++count);
   log.note(h, branch{{"e", "ask"}, {"what", task_name}});
   auto r = co_await ask("POST", "/v1/leave", body, until);
   log.note(h, branch{{"e", "told"}, {"what", task_name}});
   if (r.code != 200) co_return false;
+  if (accepted) accepted();
   while (h.now() < until) {
     r = co_await ask("GET", "/v1/leave", "", until);
     if (r.code == 200 && yes(sub(r.body, name), "done")) {
--- a/meadow/caller.hpp
+++ b/meadow/caller.hpp
@@ -89,7 +89,13 @@
   auto put(std::int64_t number, std::string body) -> task<bool>;                // true once told accepted
   auto await_held(std::int64_t number, tick until) -> task<bool>;
   auto probe_all(std::int64_t low, std::int64_t high) -> task<void>;
-  auto leave(std::string name, std::string kind, tick until) -> task<bool>;
+  // `accepted` is called as soon as the order is acknowledged.
+  auto leave(std::string name, std::string kind, tick until, std::function<void()> accepted = {}) -> task<bool>;
+  // One order or read, sent once to one control node. Returns the kind of its answer: `taken`, `retry` (not now: it may
+  // be sent again), `refused` (for good) or `late` (none within two seconds).
+  auto put_once(std::string queen, std::int64_t number, std::string body) -> task<std::string>;
+  auto leave_once(std::string queen, std::string name, std::string kind) -> task<std::string>;
+  auto read_once(std::string queen) -> task<std::string>;
   auto evacuate(std::string zone, tick until) -> task<bool>;               // true once nothing is left there
   auto read_back(tick until) -> task<bool>;                                // from a queen drawn at random
   auto read_all(std::vector<std::string> from, tick until) -> task<bool>;  // from each of these
@@ -98,6 +104,7 @@
 
  private:
   auto pull(std::string queen, tick until) -> task<bool>;
+  auto send_once(std::string queen, std::string verb, std::string path, std::string body) -> task<std::string>;
   auto probe(std::string node, std::int64_t n) -> task<void>;
   host& h;
   std::vector<std::string> queens, foragers;
--- a/meadow/judge.cpp
+++ b/meadow/judge.cpp
@@ -39,6 +39,7 @@
   // What waits for an answer, since when; all must have one 12 s after the last fault.
   std::map<std::string, std::int64_t> open;
   std::map<std::string, std::int64_t> budgets;
+  std::int64_t apply_ms = -1;
   std::map<std::string, std::vector<std::int64_t>> seeks;   // when a caller was without a link
   std::vector<std::pair<std::int64_t, std::int64_t>> calm;  // from a mend to the next hurt
   bool well = true;
@@ -108,6 +109,10 @@
       if (t0 >= when + 3000 && n < number)
         bad("stale", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + ", " +
                          std::to_string(number) + " was told held at " + std::to_string(when));
+    for (const auto& p : puts)
+      if (apply_ms >= 0 && t0 >= p.t + apply_ms && n < p.number)
+        bad("apply", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + ", " +
+                         std::to_string(p.number) + " was accepted at " + std::to_string(p.t));
     for (const auto& [when, number] : row)
       if (t0 > when + 250 && n < number)
         bad("drift", node + " served by " + std::to_string(n) + " at " + std::to_string(t0) + " after " +
@@ -299,6 +304,8 @@
       wants(str(e, "what"), t);
     else if (k == "told")
       has(str(e, "what"), t);
+    else if (k == "apply")
+      apply_ms = num(e, "ms");
     else if (k == "budget")
       budgets[str(e, "space")] = num(e, "ms");
     else if (k == "end")
--- a/meadow/judge.hpp
+++ b/meadow/judge.hpp
@@ -23,6 +23,7 @@
 //  newest  number sum t0               what reading back gave, asked at t0
 //  left    name                        told that a leaving is done
 //  leaves  names t0                    the leavings that read back as done, asked at t0
+//  apply   ms                          after an acceptance, how long a node may still serve an older charter
 //  hurt                                a fault begins
 //  mend                                the last fault has ended: all machines and paths are back
 //  seek    who                         a caller looks for a link
--- a/swarm/air.cpp
+++ b/swarm/air.cpp
@@ -106,7 +106,8 @@
       auto m = from.lock();
       if (!a->on) return;
       auto fits = p && !p->shut && p->in.size() < kernel;
-      if (w->open(*a, *b) && b->on && (!p || p->shut)) {  // nobody there: the sender is told
+      auto nobody = w->open(*a, *b) && b->on && (!p || p->shut);
+      if (nobody || w->refuses(*a, *b)) {  // the sender is told
         if (m) {
           m->flying = 0;
           m->moving = false;
@@ -252,6 +253,10 @@
     for (auto& [n, m] : world.machines)
       if (m->ip == ip) there = m.get();
     if (!there) co_return nullptr;
+    if (world.refuses(box, *there)) {
+      if (refused) *refused = true;
+      co_return nullptr;
+    }
     if (there->on && world.open(box, *there) && world.open(*there, box)) {
       auto it = world.doors.find(addr);
       if (it == world.doors.end()) {
@@ -292,20 +297,31 @@
 
 auto air::open(const machine& from, const machine& to) const -> bool {
   if (!from.on || !to.on) return false;
-  if (&from == &to || cuts.empty()) return true;
+  if (&from == &to) return true;
+  return !covers(cuts, from, to) && !covers(refusals, from, to);
+}
+auto air::refuses(const machine& from, const machine& to) const -> bool {
+  return from.on && to.on && &from != &to && covers(refusals, from, to);
+}
+auto air::covers(const path_set& paths, const machine& from, const machine& to) -> bool {
+  if (paths.empty()) return false;
   for (const auto& a : {from.name, from.zone, std::string("*")})
     for (const auto& b : {to.name, to.zone, std::string("*")}) {
-      if (!cuts.count({a, b})) continue;
+      if (!paths.count({a, b})) continue;
       // A zone's own machines still reach each other; outside callers are no zone.
       if ((a == "*" || b == "*") && (from.zone == to.zone || from.zone == "out" || to.zone == "out")) continue;
-      return false;
+      return true;
     }
-  return true;
+  return false;
+}
+auto air::cut(const std::string& from, const std::string& to, cut_kind kind) -> void {
+  auto& paths = kind == cut_kind::refusing ? refusals : cuts;
+  paths.insert({from, to});
 }
-auto air::cut(const std::string& from, const std::string& to) -> void { cuts.insert({from, to}); }
-auto air::heal(const std::string& from, const std::string& to) -> void {
-  if (auto it = cuts.find({from, to}); it != cuts.end())
-    cuts.erase(it);  // another cut of the same path may still stand
+auto air::heal(const std::string& from, const std::string& to, cut_kind kind) -> void {
+  auto& paths = kind == cut_kind::refusing ? refusals : cuts;
+  if (auto it = paths.find({from, to}); it != paths.end())
+    paths.erase(it);  // another cut of the same path may still stand
 }
 
 auto air::enter(sim_host& h) -> void {
--- a/swarm/air.hpp
+++ b/swarm/air.hpp
@@ -110,8 +110,13 @@
   auto run(tick end) -> void;
   // May bytes go from one to the other now?
   [[nodiscard]] auto open(const machine& from, const machine& to) const -> bool;
-  auto cut(const std::string& from, const std::string& to) -> void;  // names of machines or zones; '*' all
-  auto heal(const std::string& from, const std::string& to) -> void;
+  // Names of machines or zones; '*' all. A silent cut swallows packets; a refusing one answers them with a reset, as
+  // a firewall that rejects does.
+  enum class cut_kind { silent, refusing };
+  auto cut(const std::string& from, const std::string& to, cut_kind kind = cut_kind::silent) -> void;
+  auto heal(const std::string& from, const std::string& to, cut_kind kind = cut_kind::silent) -> void;
+  // Are packets from one to the other answered with a reset now?
+  [[nodiscard]] auto refuses(const machine& from, const machine& to) const -> bool;
   tick clock = 0;
   std::mt19937_64 dice;
   double loss = 0;  // share of packets sent again
@@ -132,7 +137,9 @@
   std::vector<sim_host*> stirred;                               // those whose due time may have changed
   sim_host* running = nullptr;
   std::uint64_t births = 0;
-  std::multiset<std::pair<std::string, std::string>> cuts;
+  using path_set = std::multiset<std::pair<std::string, std::string>>;
+  [[nodiscard]] static auto covers(const path_set& paths, const machine& from, const machine& to) -> bool;
+  path_set cuts, refusals;
   std::multimap<tick, std::function<void()>> events;
 };
 
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -219,6 +219,8 @@
     auto lead = leader();
     if (lead.empty()) return false;
     auto now = all.at(lead)->q->status();
+    // The voters that it names count once a majority has agreed on them.
+    if (yes(sub(now, "ledger"), "changing")) return false;
     auto seated = 0;
     for (const auto& v : list(sub(now, "ledger"), "voters"))
       for (const auto& [n, one] : all)
@@ -399,6 +401,9 @@
   auto spaces = boost::json::parse("[" + form.spaces() + "]");
   for (const auto& s : spaces.as_array())
     log.note(*outside, branch{{"e", "space"}, {"name", sub(s, "name")}, {"keep_s", sub(s, "keep_s")}});
+  // A lease given by an older configuration, at the latest by a leader that has just lost its majority.
+  const auto& any = all.begin()->second->set;
+  log.note(*outside, branch{{"e", "apply"}, {"ms", (any.lease + any.contact_span()) / msec}});
   for (const auto& [name, ms] : form.budgets)
     log.note(*outside, branch{{"e", "budget"}, {"space", name}, {"ms", ms}});
   auto ok = std::make_shared<bool>(false);
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -17,7 +17,7 @@
     {"island", 1},   {"losedisk", 1}, {"flip", 2},     {"reset", 1},  {"charter", 0}, {"stale", 0},   {"bad", 0},
     {"race", 0},     {"leave", 2},    {"slow", 2},     {"loss", 1},   {"add", 0},     {"probe", 0},   {"full", 1},
     {"roll", 1},     {"settings", 3}, {"evacuate", 0}, {"clear", 1},  {"grow", 0},    {"replace", 1}, {"step", 2},
-    {"riskdisk", 1}, {"riskflip", 2}, {"changes", 2}};
+    {"riskdisk", 1}, {"riskflip", 2}, {"changes", 2},  {"refuse", 2}, {"order", 2},   {"emptied", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -137,6 +137,9 @@
   } else if (w[0] == "standing") {
     need(0);
     s.standing = true;
+  } else if (w[0] == "probing") {
+    need(0);
+    s.probing = true;
   } else if (w[0] == "closing") {
     need(1);
     if (w[1] != "yes" && w[1] != "no") throw verdict("scene", "closing is yes or no");
@@ -164,7 +167,11 @@
   auto c = cue();
   c.line = line;
   auto dots = w[1].find("..");
-  c.low = to_tick(w[1].substr(0, dots));
+  auto plus = w[1].find('+');
+  if (plus != std::string::npos && dots != std::string::npos)
+    throw verdict("scene", "'" + w[1] + "' is either drawn between two times or moves with the seed");
+  c.low = to_tick(w[1].substr(0, std::min(dots, plus)));
+  if (plus != std::string::npos) c.step = to_tick(w[1].substr(plus + 1));
   c.high = dots == std::string::npos ? c.low : to_tick(w[1].substr(dots + 2));
   if (c.high < c.low) throw verdict("scene", "'" + w[1] + "' ends before it begins");
   c.verb = w[2];
@@ -191,12 +198,22 @@
   auto pick(const std::vector<std::string>& row) -> std::string {
     return row.empty() ? "" : row[f.world.dice() % row.size()];
   }
-  // Names may be roles: primary:CELL, backup:CELL, leader, busiest, any:KIND, all:KIND, or a name, kind or zone.
+  std::string isolated;  // the control node that a cut was last aimed at
+  // Names may be roles: primary:CELL, backup:CELL, leader, follower, busiest, any:KIND, all:KIND, or a name, kind or
+  // zone. `isolated` is the control node that a cut was last aimed at, `majority` another control node.
   auto who(const std::string& a) -> std::vector<std::string> {
     auto one = std::string();
     if (a == "leader")
       one = f.leader();
-    else if (a == "busiest")
+    else if (a == "isolated")
+      one = isolated;
+    else if (a == "follower" || a == "majority") {
+      auto out = a == "follower" ? f.leader() : isolated;
+      auto row = std::vector<std::string>();
+      for (auto& n : f.names("queen"))
+        if (f.all.at(n)->up() && n != out) row.push_back(n);
+      one = pick(row);
+    } else if (a == "busiest")
       one = f.busiest();
     else if (a.rfind("primary:", 0) == 0)
       one = f.primary_of(a.substr(8));
@@ -219,6 +236,36 @@
     auto row = who(a);
     return row.empty() ? "nowhere" : f.all.at(row[0])->box->name;
   }
+  // One side of a cut; `queens` are the machines of all control nodes that are not `but`.
+  auto places(const std::string& a, const std::string& but) -> std::vector<std::string> {
+    if (a != "queens") return {place(a)};
+    auto out = std::vector<std::string>();
+    for (auto& n : f.names("queen"))
+      if (f.all.at(n)->box->name != but) out.push_back(f.all.at(n)->box->name);
+    return out;
+  }
+  auto cut_paths(const cue& c) -> void {
+    using kind = air::cut_kind;
+    auto refusing = c.verb == "refuse" ? kind::refusing : kind::silent;
+    auto both = c.verb != "oneway";
+    const auto& a = c.args;
+    auto aimed = a[0] == "queens" ? a[1] : a[0];
+    auto one = place(aimed);
+    for (auto& n : f.names("queen"))
+      if (f.all.at(n)->box->name == one) isolated = n;
+    auto paths = std::vector<std::pair<std::string, std::string>>();
+    for (auto& from : a[0] == aimed ? std::vector<std::string>{one} : places(a[0], one))
+      for (auto& to : a[0] == aimed ? places(a[1], one) : std::vector<std::string>{one}) {
+        paths.emplace_back(from, to);
+        if (both) paths.emplace_back(to, from);
+      }
+    for (auto& [from, to] : paths)
+      f.world.cut(from, to, refusing);
+    after(c.span, [this, paths, refusing] {
+      for (auto& [from, to] : paths)
+        f.world.heal(from, to, refusing);
+    });
+  }
   int wrong = 0;  // faults under way
   auto hurt() -> void {
     if (wrong++ == 0) f.log.note(*f.outside, branch{{"e", "hurt"}});
@@ -300,17 +347,18 @@
         m->full = true;
         after(c.span, [m] { m->full = false; });
       }
-    } else if (c.verb == "cut" || c.verb == "oneway") {
-      auto from = place(a[0]), to = place(a[1]);
-      auto both = c.verb == "cut";
-      w.cut(from, to);
-      if (both) w.cut(to, from);
-      after(c.span, [this, from, to, both] {
-        f.world.heal(from, to);
-        if (both) f.world.heal(to, from);
-      });
+    } else if (c.verb == "cut" || c.verb == "oneway" || c.verb == "refuse") {
+      cut_paths(c);
+    } else if (c.verb == "order") {
+      for (auto& n : who(a[0]))
+        order(n, a[1]);
+    } else if (c.verb == "emptied") {
+      for (auto& n : who(a[0]))
+        emptied(n, a[1]);
     } else if (c.verb == "island") {
       auto z = place(a[0]);
+      for (auto& n : f.names("queen"))
+        if (f.all.at(n)->box->name == z || f.all.at(n)->box->zone == z) isolated = n;
       w.cut(z, "*");
       w.cut("*", z);
       after(c.span, [this, z] {
@@ -369,7 +417,7 @@
       for (auto& n : f.names("comb"))
         if (!leaving.count(n)) stay.push_back(n);
       if (stay.size() < 5) return;
-      auto gone = cue{c.low, c.high, "leave", {pick(stay), "evacuate"}, 120 * sec, c.line};
+      auto gone = cue{c.low, c.high, "leave", {pick(stay), "evacuate"}, 120 * sec, c.line, 0};
       leaving.insert(gone.args[0]);
       act(gone);
     } else if (c.verb == "clear") {  // a whole zone is evacuated
@@ -427,6 +475,63 @@
     });
   }
 
+  // One order or read to one control node, sent once: what it answers, and how soon, is counted.
+  auto order(const std::string& node, const std::string& what) -> void {
+    auto web = f.all.at(node)->set.web;
+    auto* cs = &counts;
+    if (what == "read") {
+      f.operate([web, cs](keeper& k) -> task<void> {
+        auto kind = co_await k.read_once(web);
+        ++(*cs)["read_" + kind];
+      });
+    } else if (what == "charter") {
+      auto body = f.next_charter();
+      auto n = f.number;
+      f.operate([web, cs, n, body](keeper& k) -> task<void> {
+        auto kind = co_await k.put_once(web, n, body);
+        ++(*cs)["order_" + kind];
+      });
+    } else {
+      auto cut = what.find(':');
+      auto verb = what.substr(0, cut);
+      auto name = cut == std::string::npos ? std::string() : what.substr(cut + 1);
+      if (verb != "retire" && verb != "drain") throw verdict("scene", "'" + what + "' is no order");
+      f.operate([web, cs, verb, name](keeper& k) -> task<void> {
+        auto kind = co_await k.leave_once(web, name, verb);
+        ++(*cs)["order_" + kind];
+      });
+    }
+  }
+
+  // A storage node is retired. Right after the order is `accepted`, or right after it is told `completed`, the disk of
+  // another storage node is lost; once completed, the retired machine goes for good with its disk.
+  auto emptied(const std::string& node, const std::string& moment) -> void {
+    if (moment != "accepted" && moment != "completed")
+      throw verdict("scene", "'" + moment + "' is no moment of a retirement: accepted or completed");
+    auto lose_another = [this, node] {
+      auto row = std::vector<std::string>();
+      for (auto& n : f.names("comb"))
+        if (n != node && f.all.at(n)->up()) row.push_back(n);
+      auto other = pick(row);
+      if (other.empty() || !f.spare(other)) return;
+      ++counts["disks_lost"];
+      f.kill(other);
+      f.lose_disk(other);
+      after(sec, [this, other] { f.start(other); });
+    };
+    auto* cs = &counts;
+    auto limit = f.world.clock + 40 * sec;
+    f.operate([this, node, moment, limit, cs, lose_another](keeper& k) -> task<void> {
+      auto accepted = std::function<void()>();
+      if (moment == "accepted") accepted = lose_another;
+      auto done = co_await k.leave(node, "retire", limit, std::move(accepted));
+      ++(*cs)[done ? "left" : "leave_refused"];
+      if (!done) co_return;
+      f.remove(node);
+      if (moment == "completed") lose_another();
+    });
+  }
+
   auto charters(const std::string& verb) -> void {
     auto* cs = &counts;
     if (verb == "stale") {
@@ -629,7 +734,8 @@
     cues.push_back(c);
   std::stable_sort(cues.begin(), cues.end(), [](auto& a, auto& b) { return a.low < b.low; });
   for (const auto& c : cues) {
-    out += "at " + plain_number(c.low) + (c.high > c.low ? ".." + plain_number(c.high) : "") + " " + c.verb;
+    out += "at " + plain_number(c.low) + (c.high > c.low ? ".." + plain_number(c.high) : "") +
+           (c.step ? "+" + plain_number(c.step) : "") + " " + c.verb;
     for (const auto& a : c.args)
       out += " " + a;
     if (c.span) out += " for " + plain_number(c.span);
@@ -675,21 +781,22 @@
 auto play(const scene& s, std::uint64_t seed) -> outcome {
   auto out = outcome();
   auto f = fleet(seed, s.form);
-  f.strolls = !s.day.empty();
+  f.strolls = s.probing || !s.day.empty();
   auto counts = std::map<std::string, std::int64_t>();
   if (!f.begin()) {
     out.bad.push_back("the fleet did not begin");
     return out;
   }
   auto zero = f.world.clock;
-  auto hand = stagehand{f, counts, {}};
+  auto hand = stagehand{f, counts, {}, {}};
   if (s.standing) hand.hurt();
   auto cues = s.cues;
   for (auto& c : draw_storm(s, seed))
     cues.push_back(c);
   for (const auto& c : cues) {
     auto span = static_cast<std::uint64_t>(c.high - c.low);
-    auto at = zero + c.low + static_cast<tick>(span ? f.world.dice() % span : 0);
+    auto at = zero + c.low + c.step * static_cast<tick>(seed - 1);
+    at += static_cast<tick>(span ? f.world.dice() % span : 0);
     f.world.later(at, [&hand, &c] { hand.act(c); });
   }
   if (s.look)
@@ -737,7 +844,7 @@
       f.world.run(f.world.clock + sec);
     if (!hand.wrong) {
       if (s.standing) hand.hurt();
-      hand.act(cue{0, 0, "power", {"all"}, 2 * sec + static_cast<tick>(f.world.dice() % (3 * sec)), 0});
+      hand.act(cue{0, 0, "power", {"all"}, 2 * sec + static_cast<tick>(f.world.dice() % (3 * sec)), 0, 0});
       f.world.run(f.world.clock + 15 * sec);
     }
   }
--- a/swarm/scene.hpp
+++ b/swarm/scene.hpp
@@ -16,6 +16,7 @@
   std::vector<std::string> args;
   tick span = 0;  // "for N": how long
   int line = 0;
+  tick step = 0;  // so much later with each further seed: a sweep over the moments of what goes before
 };
 struct scene {
   std::string name;
@@ -23,6 +24,7 @@
   std::vector<cue> cues;
   tick length = 30 * sec, quiet = 8 * sec;
   bool standing = false;  // something is wrong all the time: 12 s to serve again are not judged
+  bool probing = false;   // gateways are asked all the time which configuration they serve by
   bool closing = true;    // under half of the seeds all power goes at the end
   std::int64_t seed_low = 1, seed_high = 5;
   std::vector<std::int64_t> also;                           // seeds that failed once
--- a/wax/config.hpp
+++ b/wax/config.hpp
@@ -12,9 +12,12 @@
 struct config {
   std::string name, zone, addr, web, feed, data;
   std::vector<std::string> seeds;
-  tick beat = 100 * msec;         // between signs of life
-  tick lose = 1 * sec;            // silence after which a colleague counts as lost
-  tick lease = 1500 * msec;       // how long a charter lease lasts
+  tick beat = 100 * msec;    // between signs of life
+  tick lose = 1 * sec;       // silence after which a colleague counts as lost
+  tick lease = 1500 * msec;  // how long a charter lease lasts
+  // For how long after its last contact with a majority a leader may still give leases; shorter than the quiet that
+  // voters keep for it.
+  [[nodiscard]] auto contact_span() const -> tick { return lose * 9 / 32; }
   tick budget = 1 * sec;          // for one request inside the system
   tick resend = 10 * sec;         // repeats of a publish are known at least so long
   tick lag = 1 * sec;             // replay lag above which the primary is slowed
