Retirements are decided by the leader after contact with a majority; leases bounded

Cause: (1) a control node decided by its own view whether a copy is the last, the rest too few or a node unknown; cut off from the others it does not see the nodes whose sessions stand there, and refused for good. (2) `/readyz` of a follower asked only whether it hears a leader, so one whose own words are lost called itself ready. (3) A leader that was replaced (a refused dial, a handed-over lead) may give leases for 9/32 of lose_ms yet: at ApplyMs = 1000 such a lease ended after 1040 ms. (4) A copy that joins was taken to have on its disk what came in while the join was being synced.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -469,7 +469,8 @@
   co_await disk.sync();
   // What came in meanwhile is not synced yet.
   if (era == wipes && upto <= last() && epoch_at(upto) == top) solid = std::max(solid, upto);
-  co_return branch{{"last", last()}, {"epoch", epoch_at(last())}, {"applied", applied}, {"broken", broken}};
+  co_return branch{
+      {"last", last()}, {"epoch", epoch_at(last())}, {"applied", applied}, {"broken", broken}, {"synced", solid}};
 }
 
 auto cell::on_copy(tree t) -> task<tree> {
@@ -634,6 +635,7 @@
       auto r = co_await c.ask(std::move(q), h.now() + g.set.lose);
       if (!on()) break;
       auto theirs = num(r, "last");
+      auto synced = num_or(r, "synced", theirs);  // only what is on its disk counts as acknowledged
       // One that would have long to replay is sooner whole with a copy.
       auto done = num(r, "applied");
       auto match = !yes(r, "broken") && last() - done <= near_by && theirs >= base && theirs <= last() &&
@@ -662,14 +664,14 @@
           if (!on()) co_return;
           mates[m].heard = h.now();
         }
-        theirs = done = idx;
+        theirs = done = synced = idx;
         ++mates[m].copies;
         hive::log(grade::note, g.set.name, id + ": copied to " + m + " at " + std::to_string(idx));
       }
       {
         auto& k = mates[m];
         k.next = theirs + 1;
-        k.got = theirs;
+        k.got = std::min(theirs, synced);
         k.done = done;
         k.brought = last();
         k.joined = true;
--- a/queen/leave_orders.cpp
+++ b/queen/leave_orders.cpp
@@ -43,6 +43,15 @@
   return out;
 }
 
+auto leave_order::to_tree() const -> tree {
+  return branch{{"begins", begins}, {"name", name}, {"kind", kind}, {"copies", copies}};
+}
+auto leave_order::from_tree(const tree& t) -> leave_order {
+  auto out = leave_order{yes(t, "begins"), str(t, "name"), str(t, "kind"), num(t, "copies")};
+  if (out.copies < 1) throw verdict("malformed", "copies wants a number above 0");
+  return out;
+}
+
 auto queen::knows_comb(const std::string& name) const -> bool {
   if (law.leavings.count(name)) return true;
   if (const auto* s = known.find(name); s && s->kind == "comb") return true;
@@ -67,11 +76,19 @@
   return {};
 }
 
-// Decides an order by what is applied here, and has the ledger carry it out if no other order on that name came
-// first. A refusal goes through the ledger as well: what was decided before it must not be carried out after it,
-// and where this node lags behind an order that was taken, it is not the one to refuse it.
-auto queen::decide(const leave_order& o) -> task<tree> {
-  auto command = branch{{"k", o.begins ? "leave" : "stay"}, {"name", o.name}, {"after", law.orders.index_of(o.name)}};
+auto queen::order(const leave_order& o) -> task<tree> {
+  auto request = o.to_tree();
+  request.as_object()["op"] = "leave";
+  request.as_object()["after"] = law.orders.index_of(o.name);
+  auto out = co_await ask(nullptr, std::move(request));
+  if (!yes(out, "ok")) throw verdict::from_tree(out);
+  co_return out;
+}
+
+// The ledger carries the order out if no other order on that name came after the fence. A refusal goes through the
+// ledger as well: what was decided before it must not be carried out after it.
+auto queen::decide(const leave_order& o, std::int64_t after) -> task<tree> {
+  auto command = branch{{"k", o.begins ? "leave" : "stay"}, {"name", o.name}, {"after", after}};
   auto refusal = std::optional<verdict>();
   if (o.begins) {
     command["kind"] = o.kind;
@@ -132,7 +149,7 @@
   auto fault = verdict("overtaken", "its caller waits no longer", ran::no, 0);
   while (r.awaited(h.now())) {
     try {
-      auto out = co_await decide(o);
+      auto out = co_await order(o);
       auto zone = zone_of_key(o.name);
       if (o.begins && !zone.empty() && !zones().count(zone))
         out.as_object()["warn"] = "no node of zone " + zone + " is known now";
--- a/queen/leave_orders.hpp
+++ b/queen/leave_orders.hpp
@@ -12,6 +12,10 @@
   std::string name;         // of the node, or zone_key of the zone
   std::string kind;         // drain, evacuate or retire
   std::int64_t copies = 2;  // nodes that must remain to hold copies, for a retirement
+
+  // As one control node sends it to the leader; from_tree throws on a malformed one.
+  [[nodiscard]] auto to_tree() const -> tree;
+  static auto from_tree(const tree& t) -> leave_order;
 };
 // The order in the body of a request to /v1/leave or /v1/stay. Throws verdict("malformed") that names the fault.
 auto read_leave_order(const request& r) -> leave_order;
--- a/queen/queen.cpp
+++ b/queen/queen.cpp
@@ -8,6 +8,7 @@
 namespace hive {
 namespace {
 
+constexpr auto unknown_request = std::string_view("unknown request ");
 constexpr auto usage_each = 10;  // swaps from one telling of usage to the next
 // Of the lease, which is what a version may take to come into force everywhere: how finely versions are timed, and
 // how often at most a node is sent one. A node so has several tries at each.
@@ -115,7 +116,11 @@
 auto queen::configuration_due(const guest& g) const -> tick { return g.configuration_sent + set.lease / version_steps; }
 
 // May this queen, as leader, still speak for the majority? (design 5.3)
-auto queen::sure() const -> bool { return book.settled() && h.now() < book.quorum_at() + set.lose * 9 / 32; }
+auto queen::sure() const -> bool { return book.settled() && h.now() < book.quorum_at() + set.contact_span(); }
+
+// A follower is ready if the leader has just spoken to it for the majority: to hear a leader is not enough, its own
+// words may be lost on their way.
+auto queen::ready() const -> bool { return book.leads() ? sure() : h.now() - granted_at < set.lose; }
 
 auto queen::lends(const std::string& name) const -> bool {
   if (book.leads()) return sure();
@@ -148,7 +153,7 @@
     if (!book.leads()) co_return co_await to_leader(std::move(t));
     co_return book.stand();
   }
-  if (op == "draw" || op == "held" || op == "fresh" || op == "refound") {
+  if (op == "draw" || op == "held" || op == "fresh" || op == "refound" || op == "leave") {
     if (!book.leads()) co_return co_await to_leader(std::move(t));
     co_await book.fresh(h.now() + set.budget);
     if (op == "draw") co_return on_draw(t);
@@ -159,15 +164,21 @@
       co_return co_await refound(id, true);
     }
     if (op == "held") co_return on_held(t);
+    if (op == "leave") co_return co_await decide(leave_order::from_tree(t), num(t, "after"));
     co_return branch{{"charter", law.law ? tree(law.law->body()) : tree()}, {"realm", law.capture()}};
   }
   if (op == "status") co_return status();
-  throw verdict("malformed", "unknown request " + op);
+  throw verdict("malformed", std::string(unknown_request) + op);
 }
 
 auto queen::to_leader(tree t) -> task<tree> {
   t.as_object().erase("q");
-  co_return co_await book.ask_leader(std::move(t), h.now() + set.budget);
+  try {
+    co_return co_await book.ask_leader(std::move(t), h.now() + set.budget);
+  } catch (const verdict& v) {
+    if (v.why.compare(0, unknown_request.size(), unknown_request) != 0) throw;
+  }
+  throw verdict("no_leader", "the leader is of an earlier version", ran::no, set.lose / msec);
 }
 
 auto queen::deed(tree d) -> task<tree> {
@@ -304,6 +315,7 @@
       said = num_or(r, "live_ver", 0) == said_ver ? tree(live) : tree();
       if (yes(r, "grant")) {
         granted = true;
+        granted_at = std::max(granted_at, sent);
         wish.clear();
         for (const auto& m : list(r, "wish"))
           wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
@@ -693,7 +705,7 @@
 auto queen::page(request r) -> task<response> {
   if (auto p = common_page(r.path, [this] { return status(); })) co_return *p;
   if (r.path == "/readyz") {
-    if (book.leads() ? sure() : !book.leader().empty()) co_return response{200, {}, "ready\n"};
+    if (ready()) co_return response{200, {}, "ready\n"};
     throw verdict("no_leader", "no ledger leader is in reach", ran::no, set.lose / msec);
   }
   if (r.path == "/v1/members") {
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -22,6 +22,7 @@
   auto page(request r) -> task<response>;
   [[nodiscard]] auto leads() const -> bool { return book.leads(); }
   [[nodiscard]] auto zones() const -> std::set<std::string>;  // where nodes stand whose sessions are known here
+  [[nodiscard]] auto ready() const -> bool;                   // may take orders: it is in touch with a majority
   auto reload(const config& c) -> void { set = c; }
   auto leave(tick limit) -> task<void>;  // gives up the lead first
   realm law;
@@ -78,7 +79,11 @@
   // Orders to leave and to stay: queen/leave_orders.cpp.
   auto page_leave(request r) -> task<response>;
   auto list_leavings() -> task<response>;
-  auto decide(const leave_order& o) -> task<tree>;
+  // Asks the leader to decide, fenced by the last order on that name that is applied here.
+  auto order(const leave_order& o) -> task<tree>;
+  // Decides at the leader, after contact with a majority: a refusal that rests on what one control node sees of the
+  // others would be wrong while that one is cut off. `after`: the fence that the asking node gave.
+  auto decide(const leave_order& o, std::int64_t after) -> task<tree>;
   [[nodiscard]] auto knows_comb(const std::string& name) const -> bool;
   [[nodiscard]] auto why_not_retire(const leave_order& o, const branch& rest) const -> std::optional<verdict>;
 
@@ -100,6 +105,7 @@
   version_deadlines deadlines;     // of the versions agreed on lately, as the leader timed them
   std::int64_t newest_agreed = 0;  // as the leader last said
   std::int64_t grant_cells = 0, boot = 0, bump = 0;
+  tick granted_at = -never;  // when the leader was last asked for leases and gave them: a round trip
   signal news;
   struct move {  // a wish to a primary: another backup, or to hand over to the one it has
     std::string cell, prim, back;
