Replicated log: what the linter found

Change: a comparison in place of the three-way one that the linter misreads; in a function of the tests the operation's name is read before the request is moved; widening said in words.

--- a/ledger/membership.hpp
+++ b/ledger/membership.hpp
@@ -1,8 +1,8 @@
 // Who votes: the voters, and while they change by more than one the voters before the change as well (design 4.5).
 #pragma once
 #include <algorithm>
-#include <compare>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hive {
@@ -10,7 +10,8 @@
 // A voter is an address and the disk that stands there: another disk at the address is another voter.
 struct voter {
   std::string addr, id;
-  auto operator<=>(const voter&) const = default;
+  auto operator==(const voter&) const -> bool = default;
+  auto operator<(const voter& other) const -> bool { return std::tie(addr, id) < std::tie(other.addr, other.id); }
 };
 
 class membership {
--- a/ledger/recovery_test.cpp
+++ b/ledger/recovery_test.cpp
@@ -173,7 +173,7 @@
   }
   CHECK(is_voter(f, who));
   LONGS_EQUAL(59, f.all.at(who)->q->law.leavings.size());  // the churn took one back
-  CHECK(f.world.bytes - began < 3 * 60 * large);
+  CHECK(f.world.bytes - began < std::size_t{3} * 60 * large);
 }
 // Loss of power of all, at any moment in which snapshots replace entries: what was confirmed is there.
 TEST(ledger_recovery, nothing_is_lost_while_the_log_is_cut) {
@@ -186,7 +186,7 @@
       said.push_back(propose(f, leave("n" + std::to_string(i))));
       propose(f, leave(large_name(0)));
       propose(f, stay(large_name(0)));
-      go(f, 2 * msec + k * 500);
+      go(f, 2 * msec + tick{k} * 500);
     }
     f.power("all", false);
     f.power("all", true);
--- a/ledger/storage_test.cpp
+++ b/ledger/storage_test.cpp
@@ -6,9 +6,10 @@
 // After all others: it redefines new.
 #include <CppUTest/TestHarness.h>
 
-namespace {
 using namespace hive;
 
+namespace {
+
 // Keeps each write in its order.
 class recording_store : public store {
  public:
@@ -44,6 +45,8 @@
   }
 };
 
+}  // namespace
+
 TEST_GROUP(ledger_storage) {
   air world{1};
   machine& box = world.machine_at("m", "z");
@@ -90,8 +93,6 @@
     }
   }
 };
-}  // namespace
-
 TEST(ledger_storage, a_snapshot_is_there_before_what_it_replaces_goes) {
   fill(20, 1);
   sync();
--- a/ledger/test_fleet.hpp
+++ b/ledger/test_fleet.hpp
@@ -79,8 +79,9 @@
 }
 inline auto ask(fleet& f, const std::string& name, const tree& request) -> outcome {
   return call_book(f, name, [request](ledger& book, host&) -> task<tree> {
-    auto r = request;
-    co_return co_await book.ask(str(r, "op"), std::move(r));
+    auto op = str(request, "op");
+    auto sent = request;
+    co_return co_await book.ask(std::move(op), std::move(sent));
   });
 }
 // Runs until `done` says so, and gives how long that took; `most` and more: it did not.
