A disk votes also where its own log does not seat it yet

Cause: a voter is seated by an entry, which counts at once where it is appended. While only a part had that entry and the leadership was lost, the new voter refused every vote, since its own log did not name it.

Change: any disk that belongs to the log votes; who asks counts only the disks of its own voters, as before.

Conclusion: the rule of the Raft thesis (4.2.2) that a server votes for candidates outside of its own configuration is needed here too.

--- a/ledger/election.cpp
+++ b/ledger/election.cpp
@@ -188,7 +188,9 @@
   auto as_new = m.last_term > mine || (m.last_term == mine && m.last_index >= log.last());
   // Who still hears a leader keeps it.
   auto content = (leads() || h.now() - heard_leader < election_timeout) && !m.transfer;
-  if (!may_vote() || m.term < log.term || content) co_return vote_reply{log.term, false, me.id};
+  // Also where the own log does not seat this disk yet: the newest voters may be known to the asker alone, who counts
+  // by disk.
+  if (!log.founded || m.term < log.term || content) co_return vote_reply{log.term, false, me.id};
   if (m.dry_run) co_return vote_reply{log.term, as_new && m.term > log.term, me.id};
   if (m.term > log.term) follow(m.term, "");
   auto granted = as_new && (log.voted_for.empty() || log.voted_for == m.candidate);
