--- a/ledger/storage.cpp
+++ b/ledger/storage.cpp
@@ -53,14 +53,12 @@
     if (at != last() + 1) throw verdict("damaged", "the ledger lacks entry " + std::to_string(last() + 1));
     auto record = unseal(bytes);
     const auto& command = sub(record, "d");
-    entries.push_back({num(record, "t"), pack(command)});
-    held_bytes += entries.back().command.size();
+    push(num(record, "t"), pack(command));
     note_configuration(at, command);
   });
   // Power was lost between a snapshot and the erasing of what it covers.
   for (auto& key : stale)
     disk.cut(std::move(key));
-  uncovered_bytes = held_bytes;
   durable_index = last();
   return out;
 }
@@ -91,12 +89,20 @@
   configurations[at] = {std::move(*members), std::move(id)};
 }
 
+auto log_storage::push(term_number entry_term, std::string command) -> void {
+  auto before = entries.empty() ? base_bytes : entries.back().total_bytes;
+  auto size = command.size();
+  entries.push_back({entry_term, std::move(command), before + size});
+}
+auto log_storage::bytes_between(log_index from, log_index upto) const -> std::size_t {
+  auto total_at = [this](log_index at) { return at <= base ? base_bytes : entry_at(at).total_bytes; };
+  return total_at(upto) - total_at(from);
+}
+
 auto log_storage::append(term_number entry_term, const tree& command) -> log_index {
   auto at = last() + 1;
   disk.put(entry_key(at), seal(branch{{"t", entry_term}, {"d", command}}));
-  entries.push_back({entry_term, pack(command)});
-  held_bytes += entries.back().command.size();
-  uncovered_bytes += entries.back().command.size();
+  push(entry_term, pack(command));
   note_configuration(at, command);
   return at;
 }
@@ -105,8 +111,6 @@
   while (last() >= from) {
     disk.cut(entry_key(last()));
     configurations.erase(last());
-    held_bytes -= entries.back().command.size();
-    uncovered_bytes -= entries.back().command.size();
     entries.pop_back();
   }
   durable_index = std::min(durable_index, last());
@@ -114,7 +118,8 @@
 
 auto log_storage::wants_snapshot(log_index applied) const -> bool {
   if (applied <= covered) return false;
-  return uncovered_bytes >= std::max(compaction_bytes, snapshot_bytes) || applied - covered >= compaction_entries;
+  auto behind = bytes_between(covered, applied);
+  return behind >= std::max(compaction_bytes, snapshot_bytes) || applied - covered >= compaction_entries;
 }
 
 // From the last to the first: what a loss of power leaves has no hole.
@@ -129,24 +134,19 @@
   disk.put(snapshot_key, std::move(bytes));
   erase_on_disk(covered + 1, s.index);
   covered = s.index;
-  uncovered_bytes = 0;
-  for (auto at = covered + 1; at <= last(); ++at)
-    uncovered_bytes += entry_at(at).command.size();
-  auto covered_bytes = held_bytes - uncovered_bytes;
   auto keep = [&] {
+    auto covered_bytes = bytes_between(base, covered);
     if (covered_bytes > retained_bytes_most) return false;
     return base >= needed || (covered_bytes <= tail_bytes && covered - base <= tail_entries);
   };
-  while (base < covered && !keep()) {
-    covered_bytes -= entries.front().command.size();
+  while (base < covered && !keep())
     drop_front(base + 1);
-  }
 }
 
 auto log_storage::drop_front(log_index upto) -> void {
   while (base < upto) {
     base_term = entries.front().term;
-    held_bytes -= entries.front().command.size();
+    base_bytes = entries.front().total_bytes;
     entries.pop_front();
     ++base;
   }
@@ -162,11 +162,10 @@
   if (follows) {
     erase_on_disk(covered + 1, s.index);
     drop_front(s.index);
-    uncovered_bytes = held_bytes;
   } else {
     erase_on_disk(covered + 1, last());
     entries.clear();
-    held_bytes = uncovered_bytes = 0;
+    base_bytes = 0;
     base = s.index;
     base_term = s.term;
     configurations = {{base, {s.members, s.ledger_id}}};
--- a/ledger/storage.hpp
+++ b/ledger/storage.hpp
@@ -23,7 +23,8 @@
  public:
   struct entry {
     term_number term = 0;
-    std::string command;  // packed
+    std::string command;      // packed
+    std::size_t total_bytes;  // of all commands up to this one
   };
 
   explicit log_storage(store& d) : disk(d) {}
@@ -40,7 +41,7 @@
   [[nodiscard]] auto snapshot_index() const -> log_index { return covered; }
   [[nodiscard]] auto term_at(log_index at) const -> term_number;  // -1: not known here
   [[nodiscard]] auto entry_at(log_index at) const -> const entry&;
-  [[nodiscard]] auto bytes() const -> std::size_t { return held_bytes; }
+  [[nodiscard]] auto bytes() const -> std::size_t { return bytes_between(base, last()); }
   auto append(term_number term, const tree& command) -> log_index;
   auto truncate_from(log_index from) -> void;
 
@@ -69,6 +70,8 @@
     membership members;
     std::string ledger_id;
   };
+  auto push(term_number entry_term, std::string command) -> void;
+  [[nodiscard]] auto bytes_between(log_index from, log_index upto) const -> std::size_t;
   auto note_configuration(log_index at, const tree& command) -> void;
   auto drop_front(log_index upto) -> void;
   auto erase_on_disk(log_index from, log_index upto) -> void;
@@ -78,7 +81,8 @@
   log_index covered = 0;  // the snapshot on disk is of this index
   term_number base_term = 0;
   std::deque<entry> entries;
-  std::size_t held_bytes = 0, uncovered_bytes = 0, snapshot_bytes = 0;
+  std::size_t base_bytes = 0;  // of all commands up to the base
+  std::size_t snapshot_bytes = 0;
   std::map<log_index, configuration> configurations = {{0, {}}};  // the first: at or before `base`
 };
 
--- a/ledger/storage_test.cpp
+++ b/ledger/storage_test.cpp
@@ -141,6 +141,20 @@
   world.run(world.clock + sec);
   LONGS_EQUAL(5, copy.steps.size());
 }
+// What is not applied cannot be in a snapshot: it is no reason for one.
+TEST(ledger_storage, only_what_is_applied_asks_for_a_snapshot) {
+  auto command = branch{{"k", "leave"}, {"name", std::string(100 << 10, 'x')}};
+  for (auto i = 0; i < 30; ++i)
+    log.append(1, command);
+  CHECK_FALSE(log.wants_snapshot(0));
+  CHECK_FALSE(log.wants_snapshot(5));
+  CHECK(log.wants_snapshot(25));
+  log.compact(made(25), 25);
+  CHECK_FALSE(log.wants_snapshot(30));
+  log.truncate_from(28);
+  CHECK_FALSE(log.wants_snapshot(27));
+  CHECK(log.bytes() < std::size_t{14} * (100 << 10));
+}
 // In memory a follower that is being brought up keeps what it needs, up to the bound and no further.
 TEST(ledger_storage, entries_that_a_follower_needs_stay_within_bounds) {
   auto command = branch{{"k", "leave"}, {"name", std::string(100 << 10, 'x')}};
