--- a/ledger/ledger.cpp
+++ b/ledger/ledger.cpp
@@ -17,7 +17,7 @@
 }  // namespace
 
 ledger::ledger(host& hh, const config& c, rules r)
-    : h(hh), set(c), law(std::move(r)), log(*hh.disk()), election_timeout(c.lose * 3 / 8), home(hh) {
+    : h(hh), set(c), law(std::move(r)), log(*hh.disk(), law.bounds), election_timeout(c.lose * 3 / 8), home(hh) {
   home.on_fault = [this](std::exception_ptr e) {
     try {
       std::rethrow_exception(e);
--- a/ledger/ledger.hpp
+++ b/ledger/ledger.hpp
@@ -17,8 +17,7 @@
 namespace hive {
 
 constexpr auto seats_least = std::size_t{3};         // voters that silence alone does not bring below
-constexpr auto window_least = std::size_t{8} << 10;  // bytes sent to a follower at once, on the slowest link
-constexpr auto window_most = frame_most / 32;        // and on the fastest
+constexpr auto window_most = frame_most / 32;        // bytes sent to a follower at once, on the fastest link
 constexpr auto command_bytes_most = frame_most / 2;  // of one command: it must fit into a frame by itself
 
 class ledger {
@@ -28,6 +27,7 @@
     std::function<tree()> capture;
     std::function<void(const tree&)> restore;  // throws before it changes anything if the state is malformed
     std::function<void()> turned;              // who leads has changed
+    log_bounds bounds = {};
   };
   ledger(host& h, const config& c, rules r);
 
@@ -54,7 +54,8 @@
   auto ask_leader(tree t, tick until) -> task<tree>;
   [[nodiscard]] auto disk_id() const -> const std::string& { return me.id; }
   [[nodiscard]] auto voters() const -> const std::vector<voter>& { return log.members().voters; }
-  [[nodiscard]] auto log_bytes() const -> std::size_t { return log.bytes(); }  // of the entries in memory
+  [[nodiscard]] auto members() const -> const membership& { return log.members(); }  // as the log has them
+  [[nodiscard]] auto log_bytes() const -> std::size_t { return log.bytes(); }        // of the entries in memory
 
  private:
   enum class role_kind { follower, candidate, leader };
@@ -72,10 +73,10 @@
     log_index told_commit = -1;
     tick heard = -never;  // when the newest request that it answered was sent
     tick added = 0;
-    std::size_t window = 64 << 10;  // bytes sent at once; follows the link's pace
-    bool in_flight = false;         // entries or a part of a snapshot wait for their answer
-    bool beating = false;           // a task sends heartbeats beside them
-    bool foreign = false;           // another disk answers at its address
+    std::size_t window = 0;  // bytes sent at once; follows the link's pace
+    bool in_flight = false;  // entries or a part of a snapshot wait for their answer
+    bool beating = false;    // a task sends heartbeats beside them
+    bool foreign = false;    // another disk answers at its address
     std::shared_ptr<const snapshot_image> transfer;
     std::int64_t offset = 0;  // of the transfer's next part
   };
--- a/ledger/replication.cpp
+++ b/ledger/replication.cpp
@@ -52,6 +52,7 @@
 auto ledger::start_replication(const voter& peer) -> void {
   if (peer == me || progress.count(peer)) return;
   auto& p = progress[peer];
+  p.window = law.bounds.first_window;
   p.next_index = log.last();
   p.added = h.now();
   // A voter has just voted, or is given the time to answer; one that only learns is in no majority.
@@ -87,7 +88,7 @@
 // What is sent at once shrinks on a slow link, so that heartbeats are not held up behind it, and grows on a fast one.
 auto ledger::pace(follower_progress& p, tick took) const -> void {
   if (took > election_timeout * 3 / 4)
-    p.window = std::max(p.window / 2, window_least);
+    p.window = std::max(p.window / 2, law.bounds.least_window);
   else if (took < election_timeout / 2)
     p.window = std::min(p.window * 2, window_most);
 }
--- a/ledger/storage.cpp
+++ b/ledger/storage.cpp
@@ -119,7 +119,7 @@
 auto log_storage::wants_snapshot(log_index applied) const -> bool {
   if (applied <= covered) return false;
   auto behind = bytes_between(covered, applied);
-  return behind >= std::max(compaction_bytes, snapshot_bytes) || applied - covered >= compaction_entries;
+  return behind >= std::max(compaction_bytes, snapshot_bytes) || applied - covered >= bounds.compaction_entries;
 }
 
 // From the last to the first: what a loss of power leaves has no hole.
@@ -137,7 +137,7 @@
   auto keep = [&] {
     auto covered_bytes = bytes_between(base, covered);
     if (covered_bytes > retained_bytes_most) return false;
-    return base >= needed || (covered_bytes <= tail_bytes && covered - base <= tail_entries);
+    return base >= needed || (covered_bytes <= tail_bytes && covered - base <= bounds.tail_entries);
   };
   while (base < covered && !keep())
     drop_front(base + 1);
--- a/ledger/storage.hpp
+++ b/ledger/storage.hpp
@@ -14,11 +14,17 @@
 
 // Bounds, in bytes unless said otherwise.
 constexpr auto compaction_bytes = std::size_t{2} << 20;     // entries behind the snapshot before the next one is taken
-constexpr auto compaction_entries = log_index{1024};        // and their number
 constexpr auto tail_bytes = std::size_t{1} << 20;           // covered entries kept in memory for followers
-constexpr auto tail_entries = log_index{512};               // and their number
 constexpr auto retained_bytes_most = std::size_t{8} << 20;  // kept for a follower that is being brought up, at most
 
+// Bounds by number, and of what is sent at once. Tests set small ones, so that snapshots are taken and sent often.
+struct log_bounds {
+  log_index compaction_entries = 1024;  // behind the snapshot before the next one is taken
+  log_index tail_entries = 512;         // covered ones kept in memory for followers
+  std::size_t first_window = 64 << 10;  // bytes sent to a follower at once, before its pace is known
+  std::size_t least_window = 8 << 10;   // and on the slowest link
+};
+
 class log_storage {
  public:
   struct entry {
@@ -27,7 +33,7 @@
     std::size_t total_bytes;  // of all commands up to this one
   };
 
-  explicit log_storage(store& d) : disk(d) {}
+  explicit log_storage(store& d, log_bounds b = {}) : disk(d), bounds(b) {}
 
   // Reads the disk. Gives the snapshot on it, if any; a blank disk gets `fresh_id`. Throws `damaged`.
   auto load(std::uint64_t fresh_id) -> std::optional<snapshot>;
@@ -77,6 +83,7 @@
   auto erase_on_disk(log_index from, log_index upto) -> void;
 
   store& disk;
+  log_bounds bounds;
   log_index base = 0;     // the entry before the first in memory
   log_index covered = 0;  // the snapshot on disk is of this index
   term_number base_term = 0;
--- a/swarm/main.cpp
+++ b/swarm/main.cpp
@@ -5,11 +5,13 @@
 #include <charconv>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <sstream>
 
 #include "meadow/judge.hpp"
 #include "swarm/capacity.hpp"
+#include "swarm/log_model.hpp"
 #include "swarm/scene.hpp"
 #include "wax/ring.hpp"
 
@@ -75,6 +77,50 @@
   return ok ? 0 : 1;
 }
 
+struct seed_range {
+  std::int64_t first, last;
+};
+// "A" or "A-B".
+auto parse_seeds(const std::string& given) -> seed_range {
+  auto dash = given.find('-');
+  auto first = std::stoll(given.substr(0, dash));
+  return {first, dash == std::string::npos ? first : std::stoll(given.substr(dash + 1))};
+}
+
+// Explores schedules of the replicated log; prints each that fails, cut down, and stops after the first few.
+auto explore_log_model(const char* seeds, bool keep_going) -> int {
+  constexpr auto failures_shown = 5;
+  auto range = parse_seeds(seeds ? seeds : "1-10000");
+  auto ran = 0, failed = 0, judged = 0;
+  auto acknowledged = std::int64_t{0}, elections = std::int64_t{0}, snapshots = std::int64_t{0};
+  auto changes = std::int64_t{0};
+  auto broken = std::map<std::string, std::int64_t>();
+  for (auto seed = range.first; seed <= range.last; ++seed) {
+    auto run = hive::run_log_model(static_cast<std::uint64_t>(seed));
+    ++ran;
+    judged += run.judged_liveness ? 1 : 0;
+    acknowledged += run.acknowledged;
+    elections += run.elections;
+    snapshots += run.snapshots;
+    changes += run.membership_changes;
+    if (run.violations.empty()) continue;
+    ++failed;
+    ++broken[run.violations[0].invariant];
+    if (failed <= failures_shown)
+      std::cout << "FAIL " << hive::to_text(hive::shrink_log_model(static_cast<std::uint64_t>(seed)));
+    else if (!keep_going)
+      break;
+    else
+      std::cout << "FAIL seed " << seed << ": " << run.violations[0].invariant << '\n';
+  }
+  std::cout << ran << " schedules, " << failed << " failed; " << judged << " judged for liveness, " << acknowledged
+            << " commands acknowledged, " << elections << " elections, " << snapshots << " snapshots, " << changes
+            << " membership changes\n";
+  for (const auto& [invariant, count] : broken)
+    std::cout << "  " << invariant << ": " << count << '\n';
+  return failed || !ran ? 1 : 0;
+}
+
 }  // namespace
 
 auto main(int argc, const char** argv) -> int {
@@ -88,7 +134,7 @@
   auto* growth = static_cast<char*>(nullptr);
   auto* json = static_cast<char*>(nullptr);
   auto look = 0.0, span = 2.0;
-  auto show = 0, small = 0, draw = 0;
+  auto show = 0, small = 0, draw = 0, model = 0;
   poptOption opts[] = {
       {"seeds", 's', POPT_ARG_STRING, &seeds, 0, "seeds, one number or A-B; by default those the file names", "A-B"},
       {"log", 'l', POPT_ARG_NONE, &show, 0, "print the ring of a failing run", nullptr},
@@ -99,6 +145,8 @@
       {"draw", 0, POPT_ARG_NONE, &draw, 0, "print the scenario with the faults that the first seed draws", nullptr},
       {"set", 0, POPT_ARG_STRING, &over, 0, "settings laid over the scenario's", "KEY=VALUE,..."},
       {"history", 'o', POPT_ARG_STRING, &seen, 0, "write what was seen to a file", "FILE"},
+      {"model", 0, POPT_ARG_NONE, &model, 0, "no scenario: explore schedules of the replicated log, one for each seed",
+       nullptr},
       {"fleet", 0, POPT_ARG_STRING, &fleets, 0, "no scenario: measure idle fleets of so many hollow nodes", "N[,N...]"},
       {"cells", 0, POPT_ARG_STRING, &cells, 0, "their cells (48); the smallest fleet with each of several", "N[,N...]"},
       {"rate", 0, POPT_ARG_STRING, &rates, 0, "the smallest fleet also with so many messages a second", "N[,N...]"},
@@ -122,6 +170,7 @@
   auto held_fleets = words(fleets, &free), held_cells = words(cells, &free), held_rates = words(rates, &free),
        held_listeners = words(listeners, &free), held_growth = words(growth, &free), held_json = words(json, &free);
   hive::ring_setup(20000, "", false);
+  if (model) return explore_log_model(seeds, show != 0);
   if (fleets) return survey_fleets(fleets, cells, rates, listeners, seeds, span, growth, json);
   auto failed = 0, ran = 0;
   while (const auto* file = poptGetArg(ctx.get())) {
@@ -136,10 +185,9 @@
       }
       auto low = s.seed_low, high = s.seed_high;
       if (seeds) {
-        auto t = std::string(seeds);
-        auto at = t.find('-');
-        low = std::stoll(t.substr(0, at));
-        high = at == std::string::npos ? low : std::stoll(t.substr(at + 1));
+        auto range = parse_seeds(seeds);
+        low = range.first;
+        high = range.last;
       }
       auto row = std::vector<std::int64_t>();
       for (auto n = low; n <= high; ++n)
