--- a/swarm/control_cut_test.cpp
+++ b/swarm/control_cut_test.cpp
@@ -74,6 +74,22 @@
     }
 }
 
+// One follower does not see the nodes of the other follower, between which alone there is a cut. The leader sees all.
+TEST(control_cut, an_order_to_a_follower_is_decided_by_what_the_leader_sees) {
+  for (auto seed : {55, 56, 57, 58, 59, 60}) {
+    auto f = fleet(static_cast<std::uint64_t>(seed), calm_shape());
+    CHECK(f.begin());
+    auto node = a_follower(f);
+    for (const auto& other : f.names("queen")) {
+      if (other == node || other == f.leader()) continue;
+      f.world.cut(machine_of(f, node), machine_of(f, other));
+      f.world.cut(machine_of(f, other), machine_of(f, node));
+    }
+    f.world.run(f.world.clock + 3 * sec);
+    LONGS_EQUAL(200, answer_of(f, node, "POST", "/v1/leave", R"({"name":"comb-1","kind":"retire"})").code);
+  }
+}
+
 // Between them, a cut that refuses dials looks like a dead leader: another is elected at once. Leases that the old one
 // still gives end within the bound, and it neither reads nor confirms.
 TEST(control_cut, a_leader_behind_a_refusing_cut_says_nothing_for_the_majority) {
