Linearizability: what the linter found

Cause: the linter takes a defaulted comparison used by a pair for a null pointer. Change: the two members are compared by std::tie.

--- a/meadow/linearizability.cpp
+++ b/meadow/linearizability.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace hive {
@@ -13,7 +14,9 @@
 struct object_state {
   std::int64_t number = 0;
   std::string content;
-  auto operator<=>(const object_state&) const = default;
+  auto operator<(const object_state& other) const -> bool {
+    return std::tie(number, content) < std::tie(other.number, other.content);
+  }
 };
 
 auto is_read(const operator_order& order) -> bool {
