--- a/forager/forager_test.cpp
+++ b/forager/forager_test.cpp
@@ -292,7 +292,8 @@
   CHECK(b.ok);
   auto t = b.open(0, "a");
   b.run(sec);
-  auto cell = b.node(0).ses.known.cells.at(cell_of(*b.node(0).ses.known.law->compiled()->space_of("alerts/x"), "alerts/x"));
+  auto cell =
+      b.node(0).ses.known.cells.at(cell_of(*b.node(0).ses.known.law->compiled()->space_of("alerts/x"), "alerts/x"));
   b.f.kill(name_of(cell.prim));
   t->ask(R"({"op":"publish","topic":"alerts/x","seq":1,"body":"one"})");
   b.run(4 * sec);
