--- a/mutants.sh
+++ b/mutants.sh
@@ -33,8 +33,11 @@
     echo "BROKEN  $name: does not build"
     bad=1
   elif [[ $what == tests ]]; then
-    out=$(timeout 120 "$work/build/tests" -g "${scene#tests:}" 2>&1)
-    if grep -q '^OK (' <<<"$out"; then
+    out=$(timeout 600 "$work/build/tests" -g "${scene#tests:}" 2>&1)
+    if (($? == 124)); then
+      echo "SLOW    $name: $scene did not end, which says nothing"
+      bad=1
+    elif grep -q '^OK (' <<<"$out"; then
       echo "UNSEEN  $name: $scene"
       bad=1
     else echo "seen    $name: $scene: $(grep -o 'TEST([a-z_]*, [a-zA-Z0-9_]*' <<<"$out" | sort -u | sed 's/TEST(//' | tr '\n' ' ')"; fi
