--- a/swarm/control_cut_test.cpp
+++ b/swarm/control_cut_test.cpp
@@ -6,9 +6,10 @@
 // After all others: it redefines new.
 #include <CppUTest/TestHarness.h>
 
-namespace {
 using namespace hive;
 
+namespace {
+
 auto calm_shape() -> shape {
   auto s = shape();
   s.callers = 0;
@@ -37,6 +38,8 @@
   }
 }
 
+}  // namespace
+
 TEST_GROUP(control_cut){};
 
 // To hear the leader is not enough: this one's own words do not reach it.
@@ -153,4 +156,3 @@
   LONGS_EQUAL(2, num(*said, "last"));
   LONGS_EQUAL(1, num(*said, "synced"));
 }
-}  // namespace
