Control node divided by job: sessions, placement, pages; no line of behaviour differs

Change: queen/session_service, queen/placement and queen/pages take theirs; rows of mutants.txt follow their text. queen.cpp keeps the wiring and what the leader may say.

--- /dev/null
+++ b/queen/placement.cpp
@@ -0,0 +1,209 @@
+// Which storage nodes hold which partitions: founding, evening out and founding again (design 5.5, 5.6).
+#include "queen/queen.hpp"
+
+#include <algorithm>
+
+#include "wax/ring.hpp"
+
+namespace hive {
+
+auto queen::live_combs() const -> std::map<std::string, seat> {
+  auto out = std::map<std::string, seat>();
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !known.leaves(s)) out[n] = s;
+  return out;
+}
+auto queen::combs_at_need() const -> std::map<std::string, seat> {
+  auto out = live_combs();
+  auto zones = std::set<std::string>();
+  for (const auto& [n, s] : out)
+    zones.insert(s.zone);
+  if (zones.size() >= 2) return out;
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !s.leaving && !law.leavings.count(n)) out[n] = s;
+  return out;
+}
+// Who could hold copies without this comb: those in reach, and those out of reach that hold some.
+auto queen::rest_without(const std::string& name) const -> branch {
+  auto out = branch();
+  for (const auto& [id, c] : law.cells)
+    for (const auto& m : c.step)
+      if (name_of(m) != name) out[name_of(m)] = "";
+  for (const auto& [n, s] : known.all())
+    if (s.kind == "comb" && !s.disk.empty() && !s.leaving && n != name) out[n] = s.zone;
+  return out;
+}
+auto queen::loads() const -> std::map<std::string, std::int64_t> {
+  auto out = std::map<std::string, std::int64_t>();
+  for (const auto& [id, c] : law.cells) {
+    out[name_of(c.prim)] += 2;
+    if (!c.back.empty()) out[name_of(c.back)] += 1;
+  }
+  return out;
+}
+
+// The best node for a new backup: another locality, least laden (paper 3.1).
+auto queen::on_draw(const tree& t) -> tree {
+  auto zone = str(t, "zone");
+  auto bar = std::set<std::string>();
+  for (const auto& n : list(t, "not"))
+    bar.insert(std::string(n.as_string()));
+  auto not_name = list(t, "not").empty() ? std::string() : std::string(list(t, "not")[0].as_string());
+  auto use = loads();
+  auto best = std::string();
+  // A pair that has two copies waits for a comb outside of the evacuated zones; a single copy takes any.
+  auto row = law.cells.find(str_or(t, "cell"));
+  const auto* back = row == law.cells.end() ? nullptr : known.find(name_of(row->second.back));
+  auto paired = back && back->member() == row->second.back;
+  auto combs = paired ? live_combs() : combs_at_need();
+  for (const auto& [n, s] : combs) {
+    if (s.zone == zone || bar.count(s.member()) || name_of(not_name) == n) continue;
+    auto cost = [&](const std::string& x) { return use[x] + drawn[x]; };
+    if (best.empty() || cost(n) < cost(best)) best = n;
+  }
+  if (best.empty()) throw verdict("no_room", "no comb in another locality can take a copy", ran::no, set.lose / msec);
+  ++drawn[best];
+  return branch{{"member", combs[best].member()}, {"addr", combs[best].addr}};
+}
+
+// Founds the cells of new spaces and closes leavings; only the leader acts.
+auto queen::place() -> task<void> {
+  while (true) {
+    co_await rest(h, set.beat);
+    if (!sure() || !law.law) continue;
+    drawn.clear();
+    balance();
+    auto combs = combs_at_need();
+    auto use = loads();
+    try {
+      for (const auto& [name, s] : law.law->pools) {
+        for (auto k = std::int64_t{0}; k < s.cells; ++k) {
+          auto id = name + "/" + std::to_string(k);
+          if (auto it = law.cells.find(id); it != law.cells.end() && it->second.epoch > 0) continue;
+          auto less = [&](const seat& a, const seat& b) {
+            return std::pair(use[a.name], a.name) < std::pair(use[b.name], b.name);
+          };
+          auto order = std::vector<seat>();
+          for (const auto& [n, c] : combs)
+            order.push_back(c);
+          std::sort(order.begin(), order.end(), less);
+          if (order.empty()) break;
+          auto prim = order.front();
+          auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
+          if (back == order.end()) break;
+          use[prim.name] += 2;
+          use[back->name] += 1;
+          auto d = tree(branch{{"k", "cell"},
+                               {"id", id},
+                               {"epoch", 0},
+                               {"prim", prim.member()},
+                               {"back", back->member()},
+                               {"step", twigs{prim.member(), back->member()}},
+                               {"why", "placed"}});
+          co_await book.propose(std::move(d), h.now() + set.lose);
+          if (!sure()) break;
+        }
+      }
+      auto dead = std::vector<std::string>();
+      for (const auto& [id, c] : law.cells) {
+        auto s = law.law->pools.find(id.substr(0, id.find('/')));
+        if (s != law.law->pools.end() && s->second.keep_ms == 0 && all_lost(c)) dead.push_back(id);
+      }
+      for (const auto& id : dead)
+        co_await refound(id, false);
+      auto open = std::vector<std::string>();
+      for (const auto& [n, l] : law.leavings)
+        if (!l.done && zone_of_key(n).empty() && law.held_by(n).empty()) open.push_back(n);
+      for (const auto& n : open) {
+        auto d = tree(branch{{"k", "left"}, {"name", n}});
+        co_await book.propose(std::move(d), h.now() + set.lose);
+      }
+    } catch (const verdict& v) {
+      hive::log(grade::note, set.name, std::string("placement waits: ") + v.what());
+    }
+  }
+}
+
+// Each node in step is back with another disk: no copy is left anywhere.
+auto queen::all_lost(const cell_row& c) const -> bool {
+  if (c.step.empty()) return false;
+  return std::all_of(c.step.begin(), c.step.end(), [&](const auto& m) {
+    const auto* s = known.find(name_of(m));
+    return s && !s->disk.empty() && s->member() != m;
+  });
+}
+
+auto queen::refound(std::string id, bool forsake) -> task<tree> {
+  auto combs = combs_at_need();
+  auto use = loads();
+  auto order = std::vector<seat>();
+  for (const auto& [n, c] : combs)
+    order.push_back(c);
+  std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
+  if (order.empty()) throw verdict("no_room", "no comb is there", ran::no, set.lose / msec);
+  auto prim = order.front();
+  auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
+  if (back == order.end()) throw verdict("no_room", "no comb in a second locality", ran::no, set.lose / msec);
+  hive::log(grade::warn, set.name, id + ": all copies are lost; founded again");
+  auto d = tree(branch{{"k", "refound"},
+                       {"id", id},
+                       {"epoch", law.cells[id].epoch},
+                       {"prim", prim.member()},
+                       {"back", back->member()},
+                       {"step", twigs{prim.member(), back->member()}},
+                       {"why", "founded again"},
+                       {"forsake", forsake}});
+  co_return co_await deed(std::move(d));
+}
+
+auto queen::wishes_for(const std::string& name) const -> twigs {
+  auto out = twigs();
+  for (const auto& m : wish)
+    if (m.prim == name) out.push_back(branch{{"cell", m.cell}, {"back", m.back}, {"hand", m.hand}});
+  return out;
+}
+
+// Evens out usage, one cell at a time: the most laden comb gives something to the
+// least laden, a backup before a lead (design 5.6).
+auto queen::balance() -> void {
+  auto use = loads();
+  auto combs = live_combs();
+  if (!wish.empty()) {
+    const auto& m = wish.front();
+    const auto& c = law.cells[m.cell];
+    auto done = m.hand ? name_of(c.prim) != m.prim : name_of(c.back) == m.back;
+    if (!done && name_of(c.prim) == m.prim && h.now() - wished < set.lose * 5) return;
+    wish.clear();
+    return;  // a pause before the next
+  }
+  if (combs.size() < 2 || h.now() - wished < set.lose) return;
+  auto order = std::vector<seat>();
+  for (const auto& [n, s] : combs)
+    order.push_back(s);
+  std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
+  // Each move, or the pair of moves that 'later' begins, lowers the sum of squares:
+  // they end. The cheaper kinds are tried for all pairs of combs first.
+  for (auto kind : {shift::back, shift::hand, shift::later})
+    for (auto hi = order.rbegin(); hi != order.rend(); ++hi)
+      for (const auto& lo : order)
+        if (use[hi->name] - use[lo.name] >= (kind == shift::later ? 4 : 3) && wish_move(kind, *hi, lo, combs)) return;
+}
+
+auto queen::wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
+  for (const auto& [id, c] : law.cells) {
+    auto p = name_of(c.prim), b = name_of(c.back);
+    if (!combs.count(p) || !combs.count(b)) continue;  // broken pairs mend themselves first
+    auto apart = combs[p].zone != lo.zone && p != lo.name && b != lo.name;
+    auto hand = kind == shift::hand && p == hi.name && b == lo.name;
+    auto copy = apart && ((kind == shift::back && b == hi.name) || (kind == shift::later && p == hi.name));
+    if (!hand && !copy) continue;
+    wish = {{id, p, hand ? "" : lo.name, hand}};
+    wished = h.now();
+    hive::log(grade::note, set.name,
+              id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
+    return true;
+  }
+  return false;
+}
+
+}  // namespace hive
