--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -77,6 +77,9 @@
   });
   applied = base;
   solid = last();
+  if (last() > 0)
+    hive::log(grade::note, g.set.name,
+              id + ": own copy holds entries " + std::to_string(base + 1) + " to " + std::to_string(last()));
 }
 
 auto cell::wipe() -> void {
@@ -667,6 +670,10 @@
         theirs = done = synced = idx;
         ++mates[m].copies;
         hive::log(grade::note, g.set.name, id + ": copied to " + m + " at " + std::to_string(idx));
+      } else {
+        hive::log(grade::note, g.set.name,
+                  id + ": " + m + " joins with its own log up to " + std::to_string(theirs) + ", synced up to " +
+                      std::to_string(synced));
       }
       {
         auto& k = mates[m];
@@ -1130,6 +1137,7 @@
                 {"last", last()},
                 {"applied", applied},
                 {"solid", solid},
+                {"root", state.root},
                 {"broken", broken},
                 {"share", share},
                 {"slowed", slowed},
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -7,11 +7,14 @@
 #include <sstream>
 
 #include "meadow/judge.hpp"
+#include "swarm/durability_audit.hpp"
 #include "wax/ring.hpp"
 
 namespace hive {
 namespace {
 
+constexpr auto audit_every = 2 * sec;
+
 const auto verbs = std::map<std::string, std::size_t>{
     {"kill", 1},     {"start", 1},    {"term", 1},     {"freeze", 1}, {"power", 1},   {"cut", 2},     {"oneway", 2},
     {"island", 1},   {"losedisk", 1}, {"flip", 2},     {"reset", 1},  {"charter", 0}, {"stale", 0},   {"bad", 0},
@@ -814,8 +817,15 @@
   auto before = cost();
   auto lag = std::int64_t{0};
   auto rows = std::size_t{0};
+  auto audit = [&out, &f, next = zero]() mutable {
+    if (f.world.clock < next) return;
+    next = f.world.clock + audit_every;
+    auto found = undurable_copy(f);
+    if (!found.empty() && out.bad.empty()) out.bad.push_back("synced: " + found);
+  };
   while (f.world.clock < zero + s.length) {
     f.world.run(std::min(zero + s.length, f.world.clock + sec));
+    audit();
     for (auto& [n, p] : f.all) {
       rows = std::max(rows, p->box->solid.size());
       if (!p->c || p->h->frozen) continue;
@@ -851,6 +861,7 @@
   while (hand.wrong && !s.day.empty() && f.world.clock < zero + s.length + 120 * sec)
     f.world.run(f.world.clock + sec);
   f.finish(s.day.empty() ? s.quiet : 14 * sec);
+  audit();
   const auto& seen = f.log.rows;
   for (auto& b : judge(seen))
     out.bad.push_back(b.rule + ": " + b.what);
--- a/test.sh
+++ b/test.sh
@@ -6,5 +6,5 @@
 cmake --build build
 cmake -S . -B build-asan -G Ninja -DHIVE_SANITIZE=ON >/dev/null
 cmake --build build-asan
-ctest --test-dir build-asan --output-on-failure -j "$(nproc)"
-ctest --test-dir build --output-on-failure -j "$(nproc)"
+ci/ctest.sh build-asan
+ci/ctest.sh build
