--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -14,6 +14,12 @@
 
 namespace hive {
 
+// A copy that lacks at most so many entries may be called in step next, and is brought up by entries, not by state.
+constexpr auto near_entries = std::int64_t{256};
+
+// What a log entry takes of a buffer or a frame, about.
+auto entry_bytes(const tree& entry) -> std::size_t;
+
 // What a cell needs of the comb it stands on.
 struct ground {
   host& h;
