--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -206,15 +206,59 @@
 
 auto fleet::lose_disk(const std::string& name) -> void { all.at(name)->box->solid.clear(); }
 
+auto fleet::disk_of(const std::string& name, const std::string& key) const -> std::string {
+  auto it = all.find(name);
+  if (it == all.end()) return {};
+  auto row = it->second->box->solid.find(key);
+  return row == it->second->box->solid.end() ? "" : str(unseal(row->second), "id");
+}
+
+auto fleet::newest_view() const -> const view* {
+  const auto* known = static_cast<const view*>(nullptr);
+  for (const auto& [n, one] : all)
+    if (one->c && (!known || one->c->ses.known.cells_ver > known->cells_ver)) known = &one->c->ses.known;
+  return known;
+}
+
+auto fleet::copies_on_disk(const cell_row& row) const -> std::int64_t {
+  return std::count_if(row.step.begin(), row.step.end(),
+                       [&](auto& m) { return m == name_of(m) + "/" + disk_of(name_of(m), "B/disk"); });
+}
+
+auto fleet::copies_are_sound() const -> bool {
+  for (const auto& [n, one] : all) {
+    if (!one->c) continue;
+    auto now = one->c->status();
+    for (const auto& kv : sub(now, "cells").as_object())
+      if (yes(kv.value(), "broken")) return false;
+  }
+  return true;
+}
+
+auto fleet::outlives(std::int64_t losses) const -> bool {
+  const auto* known = newest_view();
+  if (!known || !known->law || known->cells.empty() || !copies_are_sound()) return false;
+  return std::all_of(known->cells.begin(), known->cells.end(), [&](const auto& cell) {
+    auto pool = known->law->pools.find(cell.first.substr(0, cell.first.find('/')));
+    auto keeps = pool != known->law->pools.end() && pool->second.keep_ms > 0;
+    return !keeps || copies_on_disk(cell.second) > losses;
+  });
+}
+
+auto fleet::in_step(const std::string& cell) const -> std::vector<std::string> {
+  const auto* known = newest_view();
+  if (!known) return {};
+  auto row = known->cells.find(cell);
+  if (row == known->cells.end()) return {};
+  auto out = std::vector<std::string>{name_of(row->second.prim)};
+  for (const auto& m : row->second.step)
+    if (m != row->second.prim) out.push_back(name_of(m));
+  return out;
+}
+
 auto fleet::spare(const std::string& name) const -> bool {
   const auto& p = *all.at(name);
   if (world.clock - flipped < 30 * sec) return false;
-  auto disk_of = [&](const std::string& who, const std::string& key) -> std::string {
-    auto it = all.find(who);
-    if (it == all.end()) return {};
-    auto row = it->second->box->solid.find(key);
-    return row == it->second->box->solid.end() ? "" : str(unseal(row->second), "id");
-  };
   if (p.kind == "queen") {
     auto lead = leader();
     if (lead.empty()) return false;
@@ -229,23 +273,10 @@
     return seated == form.queens;
   }
   if (p.kind != "comb") return true;
-  const auto* known = static_cast<const view*>(nullptr);
-  for (const auto& [n, one] : all)
-    if (one->c && (!known || one->c->ses.known.cells_ver > known->cells_ver)) known = &one->c->ses.known;
-  if (!known || known->cells.empty()) return false;
-  for (const auto& [n, one] : all)
-    if (one->c) {
-      auto now = one->c->status();
-      for (const auto& kv : sub(now, "cells").as_object())
-        if (yes(kv.value(), "broken")) return false;
-    }
-  for (const auto& [id, r] : known->cells) {
-    auto there = 0;
-    for (const auto& m : r.step)
-      there += m == name_of(m) + "/" + disk_of(name_of(m), "B/disk");
-    if (there < 2) return false;
-  }
-  return true;
+  const auto* known = newest_view();
+  if (!known || known->cells.empty() || !copies_are_sound()) return false;
+  return std::all_of(known->cells.begin(), known->cells.end(),
+                     [&](const auto& cell) { return copies_on_disk(cell.second) >= 2; });
 }
 
 auto fleet::flip_bits(const std::string& name, int n) -> void {
--- a/swarm/fleet.hpp
+++ b/swarm/fleet.hpp
@@ -56,6 +56,10 @@
   auto lose_disk(const std::string& name) -> void;
   // Would all that was promised outlive this disk? Each cell has two copies in step, each voter its disk.
   [[nodiscard]] auto spare(const std::string& name) const -> bool;
+  // Would all that is kept outlive the loss of any so many disks at once? Each kept partition has more copies in step.
+  [[nodiscard]] auto outlives(std::int64_t losses) const -> bool;
+  // The nodes whose copies of this partition are in step, its primary's first.
+  [[nodiscard]] auto in_step(const std::string& cell) const -> std::vector<std::string>;
   auto flip_bits(const std::string& name, int n) -> void;
   // How many queens' disks hold this text, synced; and who may still serve by an older charter.
   [[nodiscard]] auto queens_with(const std::string& body) const -> int;
@@ -101,6 +105,12 @@
   std::uint64_t claims = 0;
 
  private:
+  [[nodiscard]] auto newest_view() const -> const view*;  // of the combs' beliefs, the newest; null: none is up
+  // How many of the members that the ledger calls in step stand, each with the disk that it names.
+  [[nodiscard]] auto copies_on_disk(const cell_row& row) const -> std::int64_t;
+  [[nodiscard]] auto copies_are_sound() const -> bool;  // no copy is damaged
+  // The identity that this node's disk holds under a key; empty: none.
+  [[nodiscard]] auto disk_of(const std::string& name, const std::string& key) const -> std::string;
   auto config_for(const std::string& kind, const std::string& name, const std::string& zone, const machine& m) const
       -> config;
   auto add(const std::string& kind, const std::string& name, const std::string& box, const std::string& zone) -> void;
--- a/swarm/scene.cpp
+++ b/swarm/scene.cpp
@@ -20,7 +20,7 @@
     {"island", 1},   {"losedisk", 1}, {"flip", 2},     {"reset", 1},  {"charter", 0}, {"stale", 0},   {"bad", 0},
     {"race", 0},     {"leave", 2},    {"slow", 2},     {"loss", 1},   {"add", 0},     {"probe", 0},   {"full", 1},
     {"roll", 1},     {"settings", 3}, {"evacuate", 0}, {"clear", 1},  {"grow", 0},    {"replace", 1}, {"step", 2},
-    {"riskdisk", 1}, {"riskflip", 2}, {"changes", 2},  {"refuse", 2}, {"order", 2},   {"emptied", 2}};
+    {"riskdisk", 1}, {"riskflip", 2}, {"changes", 2},  {"refuse", 2}, {"order", 2},   {"emptied", 2}, {"wipe", 2}};
 
 // What a storm may draw, and how often: the brief's list of what fails.
 const auto squalls = std::vector<std::pair<std::string, int>>{
@@ -337,6 +337,8 @@
         f.lose_disk(n);
         after(c.span, [this, n] { f.start(n); });
       }
+    } else if (c.verb == "wipe") {
+      wipe(a[0], static_cast<std::int64_t>(number(a[1])), c.span);
     } else if (c.verb == "flip" || c.verb == "riskflip") {
       for (auto& n : who(a[0])) {
         if (c.verb == "riskflip" && !f.spare(n)) continue;
@@ -506,6 +508,20 @@
     }
   }
 
+  // All machines lose power at once, and so many of the disks in step of this partition are lost, its primary's first;
+  // only where all that is kept has to outlive that.
+  auto wipe(const std::string& cell, std::int64_t losses, tick span) -> void {
+    if (!f.outlives(losses)) return;
+    auto members = f.in_step(cell);
+    f.power("all", false);
+    for (auto i = std::size_t{0}; i < members.size() && i < static_cast<std::size_t>(losses); ++i) {
+      f.lose_disk(members[i]);
+      ++counts["disks_lost"];
+    }
+    ++counts["wiped"];
+    after(span, [this] { f.power("all", true); });
+  }
+
   // A storage node is retired. Right after the order is `accepted`, or right after it is told `completed`, the disk of
   // another storage node is lost; once completed, the retired machine goes for good with its disk.
   auto emptied(const std::string& node, const std::string& moment) -> void {
--- a/wax/config.cpp
+++ b/wax/config.cpp
@@ -96,6 +96,8 @@
       {"lag_ms", "replay lag above which a primary is slowed", span(&config::lag, 10, 60000, msec)},
       {"body_bytes", "most bytes of one message", span(&config::body, 64, 1 << 20, 1)},
       {"buffer_bytes", "most bytes of one log buffer or slow reader", span(&config::buffer, 4096, 1 << 28, 1)},
+      {"copies", "of a partition that keeps messages: the disks that may be lost at once, and one",
+       span(&config::copies, 2, 7, 1)},
       {"links_most", "most downstream links", span(&config::links, 1, 100000, 1)},
       {"drain_ms", "what a leaving forager leaves its links to end what is under way",
        span(&config::drain, 0, 60000, msec)},
--- a/wax/config.hpp
+++ b/wax/config.hpp
@@ -23,15 +23,16 @@
   tick lag = 1 * sec;             // replay lag above which the primary is slowed
   std::int64_t body = 16 << 10;   // bytes of one message
   std::int64_t buffer = 4 << 20;  // bytes of one log buffer or slow reader
-  std::int64_t links = 4000;      // links one forager holds
-  tick drain = 1 * sec;           // what a leaving forager leaves its links to end what is under way
-  tick grace = 4 * sec;           // from SIGTERM to the process's end, at most
-  tick presence = 5 * sec;        // a count of subscribers is at most so old
-  tick keepalive = 15 * sec;      // a downstream silent for three times as long may be let go
-  bool found = true;              // a blank disk may begin a new ledger
-  bool slowing = true;            // gradual slowing of a primary
-  tick drag = 0;                  // replay time of one entry, for tests of a slow backup
-  bool echo = false;              // log lines also to stderr
+  std::int64_t copies = 2;    // of a partition that keeps messages: the losses of disks to be borne at once, and one
+  std::int64_t links = 4000;  // links one forager holds
+  tick drain = 1 * sec;       // what a leaving forager leaves its links to end what is under way
+  tick grace = 4 * sec;       // from SIGTERM to the process's end, at most
+  tick presence = 5 * sec;    // a count of subscribers is at most so old
+  tick keepalive = 15 * sec;  // a downstream silent for three times as long may be let go
+  bool found = true;          // a blank disk may begin a new ledger
+  bool slowing = true;        // gradual slowing of a primary
+  tick drag = 0;              // replay time of one entry, for tests of a slow backup
+  bool echo = false;          // log lines also to stderr
 };
 
 struct fault {
