Kept partitions have as many backups as the settings' losses want (copies)

The primary's backups are the in-step set now; outputs wait for all of them, any of them may claim, a lost one goes from the set at once while another is in touch. Also: a copy of the state belongs to the join it was asked for, and of two tasks that feed one copy the later goes on. Old rows read as before.

--- a/comb/cell.cpp
+++ b/comb/cell.cpp
@@ -195,6 +195,8 @@
 }
 
 auto cell::stand() const -> tree {
+  auto backups = row.backups();
+  auto names = twigs(backups.begin(), backups.end());
   auto ms = branch();
   for (const auto& [m, k] : mates) {
     auto lag = lag_of(k) / msec;
@@ -205,7 +207,8 @@
                                               : "idle"},
                 {"epoch", row.epoch},
                 {"prim", row.prim},
-                {"back", row.back},
+                {"back", backups.empty() ? "" : backups.front()},
+                {"backups", names},
                 {"last", last()},
                 {"applied", applied},
                 {"solid", solid},
--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -85,6 +85,13 @@
     bool gone = false;  // its process is known to be dead
     tick since = 0;     // when feeding it began
     std::int64_t copies = 0;
+    std::int64_t feed = 0;  // the task that feeds it: another one has ended
+  };
+  struct placement_wish {  // what the control nodes would like, to even out usage
+    std::string backup;    // a member to become a backup; empty: none
+    std::string replaced;  // the node of the backup whose place it takes
+    bool hand_over = false;
+    std::string lead;  // the node to hand over to; empty: any backup
   };
   struct pending {
     std::int64_t idx;
@@ -102,6 +109,13 @@
   [[nodiscard]] auto lag_of(const mate& k) const -> tick;  // real-time lag of its replay
   [[nodiscard]] auto doubtful() const -> bool;             // is an output waiting for a copy that does not answer?
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
+  [[nodiscard]] auto lone() const -> bool;  // keeps messages, and no backup is in touch
+  [[nodiscard]] auto copies_wanted() const -> std::size_t;
+  [[nodiscard]] auto lost_backups() const -> std::set<std::string>;  // silent for `lose`, or with their disk gone
+  [[nodiscard]] auto leaves(const std::string& member) const -> bool;
+  [[nodiscard]] auto wish() const -> placement_wish;
+  [[nodiscard]] auto step_with(const std::string& member, const placement_wish& wished) const
+      -> std::vector<std::string>;
   [[nodiscard]] auto disk_lost(const std::string& member) const -> bool;
   auto load() -> void;
   auto save() -> void;  // a capture to disk; entries before it go
@@ -114,11 +128,21 @@
   auto watch() -> task<void>;
   auto settle() -> task<void>;
   auto replay() -> task<void>;
-  auto feed(std::string member, std::int64_t stint) -> task<void>;
+  auto feed(std::string member, std::int64_t stint, std::int64_t number) -> task<void>;
   auto start_feed(const std::string& member) -> void;
   auto propose(cell_row next, std::string why) -> task<bool>;
   auto claim(std::string why) -> task<void>;
-  auto tend() -> task<void>;
+  auto tend() -> task<void>;  // one round of what a primary owes its copies:
+  auto log_time() -> void;
+  auto forget_strays() -> void;
+  auto slow_for_lag() -> void;
+  auto drop_lost() -> task<void>;
+  auto restore_copies() -> task<void>;
+  auto draw_copy(const std::vector<std::string>& stay) -> task<void>;
+  auto begin_copy(const std::string& member) -> void;
+  auto bring_in_step() -> task<void>;
+  auto give_up_copy() -> task<void>;
+  auto hand_over() -> task<void>;
   auto go_live() -> void;
   auto halt(const std::string& why) -> void;
   auto give_up(const std::string& why) -> void;  // final answers at once to what waits
@@ -143,7 +167,9 @@
   std::map<std::string, mate> mates;
   std::set<std::string> proving;  // copies whose ack is needed while a move is in flight
   std::int64_t unsure = -1;       // the epoch at which a move was proposed whose answer never came
-  std::string fresh_back;         // the copy being made to restore redundancy
+  std::string fresh_back;         // the copy being made to restore redundancy, or for a wish
+  std::int64_t feeds = 0;         // feeding tasks begun
+  std::int64_t joins = 0;         // joins asked for: a copy of the state belongs to one of them
   tick fresh_since = 0;
   std::set<std::string> barred;
   std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
@@ -159,8 +185,9 @@
   wire_ptr lord_wire;
   tick heard = 0, clock_at = 0, born_at = 0, back_at = 0;
   std::string copy_part;
-  tick lag_was = 0;  // smoothed
-  double share = 1;  // the admission share of gradual slowing
+  std::int64_t join_id = 0;  // the join that this backup answered last
+  tick lag_was = 0;          // smoothed
+  double share = 1;          // the admission share of gradual slowing
   double tokens = 0, peak = 0;
   tick paced = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
--- a/comb/cell_backup.cpp
+++ b/comb/cell_backup.cpp
@@ -31,6 +31,7 @@
   }
   lord = str(t, "from");
   lord_epoch = e;
+  join_id = num_or(t, "join", 0);
   lord_gone = false;
   heard = h.now();
   if (role != part::back) back_at = h.now();
@@ -49,6 +50,8 @@
   auto here = visit(inside);
   if (num(t, "epoch") != lord_epoch || str(t, "from") != lord || role != part::back)
     throw verdict("old", "another primary is followed");
+  // One of an earlier join may come late, over a link that was given up since: it would undo what was acknowledged.
+  if (num_or(t, "join", 0) != join_id) throw verdict("old", "another join came after this copy was begun");
   heard = h.now();
   if (num(t, "part") == 0) copy_part.clear();
   copy_part += str(t, "bytes");
--- a/comb/cell_feed.cpp
+++ b/comb/cell_feed.cpp
@@ -36,14 +36,20 @@
 
 auto cell::start_feed(const std::string& m) -> void {
   if (m.empty() || mates.count(m)) return;
-  mates[m].heard = mates[m].since = h.now();
-  home.spawn(feed(m, stint));
+  auto& k = mates[m];
+  k.heard = k.since = h.now();
+  k.feed = ++feeds;
+  home.spawn(feed(m, stint, k.feed));
 }
 
 // The logging channel to one copy: compare logs, copy the running state if
 // they part, then stream; straight down, again after every break.
-auto cell::feed(std::string m, std::int64_t mine) -> task<void> {
-  auto on = [&] { return role == part::prim && stint == mine && mates.count(m) > 0; };
+auto cell::feed(std::string m, std::int64_t mine, std::int64_t number) -> task<void> {
+  auto on = [&] {
+    if (role != part::prim || stint != mine) return false;
+    auto it = mates.find(m);
+    return it != mates.end() && it->second.feed == number;
+  };
   while (on()) {
     const auto* s = g.ses.known.find(name_of(m));
     auto addr = s && s->member() == m ? s->addr : "";
@@ -54,7 +60,9 @@
     auto& c = g.reach(addr);
     auto moved = false;
     try {
-      auto q = tree(branch{{"op", "c.join"}, {"cell", id}, {"epoch", row.epoch}, {"from", me()}, {"last", last()}});
+      auto join = ++joins;
+      auto q = tree(branch{
+          {"op", "c.join"}, {"cell", id}, {"epoch", row.epoch}, {"from", me()}, {"join", join}, {"last", last()}});
       auto r = co_await c.ask(std::move(q), h.now() + g.set.lose);
       if (!on()) break;
       auto theirs = num(r, "last");
@@ -80,6 +88,7 @@
                                {"cell", id},
                                {"epoch", e},
                                {"from", me()},
+                               {"join", join},
                                {"part", part},
                                {"bytes", bit},
                                {"end", at >= hex.size()}});
@@ -107,7 +116,7 @@
         k.heard = h.now();
       }
       release();
-      if (m == fresh_back) stir.wake();
+      stir.wake();
       auto e = row.epoch;
       while (on() && c.up() && !mates[m].nacked && h.now() - mates[m].heard <= g.set.lose && row.epoch == e) {
         auto& k = mates[m];
--- a/comb/cell_lead.cpp
+++ b/comb/cell_lead.cpp
@@ -26,6 +26,8 @@
 // The ledger's word. Who lost a claim halts and takes the part it is given.
 auto cell::meet(const cell_row& r) -> void {
   if (r.epoch <= row.epoch) return;
+  // Another backup was faster: its time to be heard begins now.
+  if (role == part::back && r.prim != row.prim) heard = h.now();
   row = r;
   lord_gone = false;
   if (role == part::prim && r.prim != me()) halt("epoch " + std::to_string(r.epoch) + " is led by " + r.prim);
@@ -34,7 +36,7 @@
     stir.wake();
     return;
   }
-  if (r.prim != me() && (r.back == me() || r.in_step(me())) && role != part::back) {
+  if (r.prim != me() && r.in_step(me()) && role != part::back) {
     role = part::back;
     back_at = heard = h.now();
     rows_in.wake();
@@ -80,7 +82,8 @@
   auto ops = std::vector<tree>{branch{{"k", "v"}, {"e", row.epoch}, {"m", me()}}};
   if (auto l = law_entry()) ops.push_back(*l);
   operate(std::move(ops));
-  start_feed(row.back);
+  for (const auto& m : row.backups())
+    start_feed(m);
 }
 
 auto cell::give_up(const std::string& why) -> void {
@@ -126,18 +129,12 @@
 auto cell::claim(std::string why) -> task<void> {
   auto next = row;
   next.prim = me();
-  next.back.clear();
-  for (const auto& m : row.step)
-    if (m != me()) next.back = m;
   // A kept cell's in-step set stays: only one that has all may ever claim.
   // Where nothing is kept, the lone winner goes on alone, as in the paper.
   auto was_silent = row.prim != me();
   auto gone = row.prim;
-  auto silent = was_silent || next.back.empty();
-  if (!kept() && silent) {
-    next.back.clear();
-    next.step = {me()};
-  }
+  auto silent = was_silent || row.step.size() < 2;
+  if (!kept() && silent) next.step = {me()};
   hive::log(grade::note, g.set.name, id + ": claims epoch " + std::to_string(row.epoch + 1) + ": " + why);
   try {
     auto won = co_await propose(next, why);
@@ -169,8 +166,8 @@
                 id + ": replayed for " + std::to_string((h.now() - begun) / msec) + " ms before it went live");
       hurry = true;                         // its new pair is sought at once
       if (was_silent) barred.insert(gone);  // not to be drawn before it is heard again
-      // The silence that led to the claim counts against the other copy too.
-      if (was_silent && mates.count(row.back)) mates[row.back].heard = h.now() - g.set.lose - 1;
+      // The silence that led to the claim counts against its copy too.
+      if (was_silent && mates.count(gone)) mates[gone].heard = h.now() - g.set.lose - 1;
       spill(id + " taken over: " + why);
     }
   } catch (const verdict& v) {
@@ -181,6 +178,11 @@
 // The life of the cell here: follow the ledger, notice silence, claim, tend.
 auto cell::watch() -> task<void> {
   auto patience = h.spread(g.set.beat);
+  // The backups' patience differs by their place in the row, so that mostly one claims first.
+  auto rank = [&] {
+    auto backups = row.backups();
+    return std::find(backups.begin(), backups.end(), me()) - backups.begin();
+  };
   while (true) {
     auto end = h.now() + g.set.beat;
     while (h.now() < end && !hurry) {
@@ -199,8 +201,8 @@
         co_await claim(row.epoch == 1 ? "first start" : "its primary is back");
       } else if (row.in_step(me()) && disk_lost(row.prim)) {
         co_await claim("its primary's disk is lost");
-      } else if (row.in_step(me()) &&
-                 (lord_gone || h.now() - std::max({heard, born_at, back_at}) > g.set.lose + patience)) {
+      } else if (row.in_step(me()) && (lord_gone || h.now() - std::max({heard, born_at, back_at}) >
+                                                        g.set.lose + patience + g.set.beat * rank())) {
         co_await claim(lord_gone ? "its primary's process is gone" : "its primary is silent");
         patience = h.spread(g.set.beat);
       }
--- a/comb/cell_requests.cpp
+++ b/comb/cell_requests.cpp
@@ -7,15 +7,16 @@
 
 namespace hive {
 // The Output Rule: nothing above this index may leave (paper 2.2). A kept
-// cell also wants its own and its pair's disk to have it; alone it says nothing.
+// cell also wants its own disk and each backup's to have it; alone it says nothing.
 auto cell::safe() const -> std::int64_t {
   auto out = solid;
-  if (row.back.empty() && kept()) return -1;
+  if (row.step.size() < 2 && kept()) return -1;
   auto count = [&](const std::string& m) {
     auto it = mates.find(m);
     out = std::min(out, it == mates.end() ? -1 : it->second.got);
   };
-  if (!row.back.empty()) count(row.back);
+  for (const auto& m : row.step)
+    if (m != row.prim) count(m);
   for (const auto& m : proving)
     count(m);
   return out;
@@ -114,7 +115,7 @@
         refuse({"unclear", "accepted here, the second copy does not answer: send it again", ran::maybe, again});
       else if (auto it = waits.find(k); it != waits.end())
         it->second.push_back(s);
-      else if (applied > safe() && kept() && (row.back.empty() || !in_touch(row.back)))
+      else if (applied > safe() && lone())
         refuse({"unclear", "accepted here, not yet safe: send it again", ran::maybe, again});
       else {
         outs.push_back({applied, {}, s, branch{{"repeat", true}}});
@@ -125,10 +126,11 @@
       break;
   }
   if (handing) return refuse({"moving", id + " is changing hands", ran::no, g.set.beat / msec});
-  if (kept() && (row.back.empty() || !in_touch(row.back)))
-    return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
-  // The buffer towards the backup is full: the primary stops (paper 3.2).
-  if (auto it = mates.find(row.back); it != mates.end()) {
+  if (lone()) return refuse({"lone", "a kept space takes nothing until its second copy stands", ran::no, again});
+  // The buffer towards a backup is full: the primary stops (paper 3.2).
+  for (const auto& m : row.step) {
+    auto it = m == row.prim ? mates.end() : mates.find(m);
+    if (it == mates.end()) continue;
     auto bytes = std::size_t{0};
     auto from = std::max(it->second.done, base);
     for (auto i = from + 1; i <= last() && bytes <= static_cast<std::size_t>(g.set.buffer); ++i)
@@ -158,13 +160,20 @@
   if (doubtful()) give_up("the second copy does not answer");
 }
 
-// Something waits for the second copy, and that has been still for three beats, in each of which it acks
+// Something waits for a copy, and that has been still for three beats, in each of which it acks
 // at least once: nobody is kept waiting for what may not come. The entries stay; a repeat is acked
 // as soon as they are safe.
 auto cell::doubtful() const -> bool {
-  if (row.back.empty() || !kept() || safe() >= last()) return false;
-  auto it = mates.find(row.back);
-  return it != mates.end() && h.now() - it->second.heard > g.set.beat * 3;
+  if (!kept() || safe() >= last()) return false;
+  return std::any_of(row.step.begin(), row.step.end(), [&](const auto& m) {
+    auto it = m == row.prim ? mates.end() : mates.find(m);
+    return it != mates.end() && it->second.got < last() && h.now() - it->second.heard > g.set.beat * 3;
+  });
+}
+
+auto cell::lone() const -> bool {
+  return kept() &&
+         std::none_of(row.step.begin(), row.step.end(), [&](const auto& m) { return m != row.prim && in_touch(m); });
 }
 
 auto cell::subscribe(const tree& t, const wire_ptr& w) -> void {
--- a/queen/leave_orders.cpp
+++ b/queen/leave_orders.cpp
@@ -55,9 +55,7 @@
 auto queen::knows_comb(const std::string& name) const -> bool {
   if (law.leavings.count(name)) return true;
   if (const auto* s = known.find(name); s && s->kind == "comb") return true;
-  return std::any_of(law.cells.begin(), law.cells.end(), [&](const auto& row) {
-    return name_of(row.second.prim) == name || name_of(row.second.back) == name;
-  });
+  return !law.held_by(name).empty();
 }
 
 // Why this node may not be retired now; none: it may. `rest`: who could hold copies without it.
--- a/queen/placement.cpp
+++ b/queen/placement.cpp
@@ -37,28 +37,62 @@
   auto out = std::map<std::string, std::int64_t>();
   for (const auto& [id, c] : law.cells) {
     out[name_of(c.prim)] += 2;
-    if (!c.back.empty()) out[name_of(c.back)] += 1;
+    for (const auto& m : c.backups())
+      out[name_of(m)] += 1;
   }
   return out;
 }
 
-// The best node for a new backup: another locality, least laden (paper 3.1).
+auto queen::copies_of(const std::string& pool) const -> std::int64_t {
+  constexpr auto pair = std::int64_t{2};
+  auto it = law.law ? law.law->pools.find(pool) : std::map<std::string, hive::pool>::const_iterator();
+  return law.law && it != law.law->pools.end() && it->second.keep_ms > 0 ? set.copies : pair;
+}
+
+auto queen::founders(const std::vector<seat>& by_load, std::int64_t copies) -> std::vector<seat> {
+  auto out = std::vector<seat>();
+  auto in_zone = std::map<std::string, int>();
+  while (out.size() < static_cast<std::size_t>(copies)) {
+    const auto* best = static_cast<const seat*>(nullptr);
+    for (const auto& s : by_load) {
+      auto taken = std::any_of(out.begin(), out.end(), [&](const auto& one) { return one.name == s.name; });
+      if (!taken && (!best || in_zone[s.zone] < in_zone[best->zone])) best = &s;
+    }
+    if (!best) break;  // fewer nodes than copies
+    ++in_zone[best->zone];
+    out.push_back(*best);
+  }
+  return in_zone.size() < 2 ? std::vector<seat>() : out;
+}
+
+// The best node for a new backup: in the locality with the fewest copies, least laden (paper 3.1). The first backup
+// stands in another locality than the primary.
 auto queen::on_draw(const tree& t) -> tree {
   auto zone = str(t, "zone");
   auto bar = std::set<std::string>();
   for (const auto& n : list(t, "not"))
     bar.insert(std::string(n.as_string()));
-  auto not_name = list(t, "not").empty() ? std::string() : std::string(list(t, "not")[0].as_string());
+  auto primary = list(t, "not").empty() ? std::string() : name_of(std::string(list(t, "not")[0].as_string()));
+  auto in_zone = std::map<std::string, int>{{zone, 1}};
+  auto stay = std::set<std::string>();  // the backups that it keeps
+  for (const auto& m : list(t, "with")) {
+    stay.insert(name_of(std::string(m.as_string())));
+    if (const auto* s = known.find(name_of(std::string(m.as_string())))) ++in_zone[s->zone];
+  }
+  auto apart = in_zone.size() > 1;
   auto use = loads();
   auto best = std::string();
-  // A pair that has two copies waits for a comb outside of the evacuated zones; a single copy takes any.
+  // One that has a second copy waits for a comb outside of the evacuated zones; a single copy takes any.
   auto row = law.cells.find(str_or(t, "cell"));
-  const auto* back = row == law.cells.end() ? nullptr : known.find(name_of(row->second.back));
-  auto paired = back && back->member() == row->second.back;
+  auto backups = row == law.cells.end() ? std::vector<std::string>() : row->second.backups();
+  auto paired = std::any_of(backups.begin(), backups.end(), [&](const auto& m) {
+    const auto* s = known.find(name_of(m));
+    return s && s->member() == m;
+  });
   auto combs = paired ? live_combs() : combs_at_need();
+  auto cost = [&](const std::string& n) { return std::pair(in_zone[combs[n].zone], use[n] + drawn[n]); };
   for (const auto& [n, s] : combs) {
-    if (s.zone == zone || bar.count(s.member()) || name_of(not_name) == n) continue;
-    auto cost = [&](const std::string& x) { return use[x] + drawn[x]; };
+    if ((s.zone == zone && !apart) || bar.count(s.member()) || primary == n || stay.count(n)) continue;
     if (best.empty() || cost(n) < cost(best)) best = n;
   }
   if (best.empty()) throw verdict("no_room", "no comb in another locality can take a copy", ran::no, set.lose / msec);
@@ -87,18 +121,18 @@
           for (const auto& [n, c] : combs)
             order.push_back(c);
           std::sort(order.begin(), order.end(), less);
-          if (order.empty()) break;
-          auto prim = order.front();
-          auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
-          if (back == order.end()) break;
-          use[prim.name] += 2;
-          use[back->name] += 1;
+          auto members = founders(order, copies_of(name));
+          if (members.empty()) break;
+          auto step = twigs();
+          for (const auto& m : members) {
+            use[m.name] += step.empty() ? 2 : 1;
+            step.emplace_back(m.member());
+          }
           auto d = tree(branch{{"k", "cell"},
                                {"id", id},
                                {"epoch", 0},
-                               {"prim", prim.member()},
-                               {"back", back->member()},
-                               {"step", twigs{prim.member(), back->member()}},
+                               {"prim", members.front().member()},
+                               {"step", step},
                                {"why", "placed"}});
           co_await book.propose(std::move(d), h.now() + set.lose);
           if (!sure()) break;
@@ -141,16 +175,17 @@
     order.push_back(c);
   std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) { return use[a.name] < use[b.name]; });
   if (order.empty()) throw verdict("no_room", "no comb is there", ran::no, set.lose / msec);
-  auto prim = order.front();
-  auto back = std::find_if(order.begin(), order.end(), [&](auto& c) { return c.zone != prim.zone; });
-  if (back == order.end()) throw verdict("no_room", "no comb in a second locality", ran::no, set.lose / msec);
+  auto members = founders(order, copies_of(id.substr(0, id.find('/'))));
+  if (members.empty()) throw verdict("no_room", "no comb in a second locality", ran::no, set.lose / msec);
+  auto step = twigs();
+  for (const auto& m : members)
+    step.emplace_back(m.member());
   hive::log(grade::warn, set.name, id + ": all copies are lost; founded again");
   auto d = tree(branch{{"k", "refound"},
                        {"id", id},
                        {"epoch", law.cells[id].epoch},
-                       {"prim", prim.member()},
-                       {"back", back->member()},
-                       {"step", twigs{prim.member(), back->member()}},
+                       {"prim", members.front().member()},
+                       {"step", step},
                        {"why", "founded again"},
                        {"forsake", forsake}});
   co_return co_await deed(std::move(d));
@@ -159,10 +194,18 @@
 auto queen::wishes_for(const std::string& name) const -> twigs {
   auto out = twigs();
   for (const auto& m : wish)
-    if (m.prim == name) out.push_back(branch{{"cell", m.cell}, {"back", m.back}, {"hand", m.hand}});
+    if (m.prim == name) out.push_back(m.to_tree());
   return out;
 }
 
+auto queen::move::to_tree() const -> tree {
+  return branch{{"cell", cell},         {"prim", prim}, {"back", back},
+                {"replaced", replaced}, {"lead", lead}, {"hand", hands_over()}};
+}
+auto queen::move::from_tree(const tree& t) -> move {
+  return {str(t, "cell"), str(t, "prim"), str(t, "back"), str_or(t, "replaced"), str_or(t, "lead")};
+}
+
 // Evens out usage, one cell at a time: the most laden comb gives something to the
 // least laden, a backup before a lead (design 5.6).
 auto queen::balance() -> void {
@@ -171,7 +214,8 @@
   if (!wish.empty()) {
     const auto& m = wish.front();
     const auto& c = law.cells[m.cell];
-    auto done = m.hand ? name_of(c.prim) != m.prim : name_of(c.back) == m.back;
+    auto holds = std::any_of(c.step.begin(), c.step.end(), [&](const auto& one) { return name_of(one) == m.back; });
+    auto done = m.hands_over() ? name_of(c.prim) != m.prim : holds;
     if (!done && name_of(c.prim) == m.prim && h.now() - wished < set.lose * 5) return;
     wish.clear();
     return;  // a pause before the next
@@ -191,17 +235,30 @@
 
 auto queen::wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
   for (const auto& [id, c] : law.cells) {
-    auto p = name_of(c.prim), b = name_of(c.back);
-    if (!combs.count(p) || !combs.count(b)) continue;  // broken pairs mend themselves first
-    auto apart = combs[p].zone != lo.zone && p != lo.name && b != lo.name;
-    auto hand = kind == shift::hand && p == hi.name && b == lo.name;
-    auto copy = apart && ((kind == shift::back && b == hi.name) || (kind == shift::later && p == hi.name));
-    if (!hand && !copy) continue;
-    wish = {{id, p, hand ? "" : lo.name, hand}};
-    wished = h.now();
-    hive::log(grade::note, set.name,
-              id + (hand ? ": wish that " + p + " hands it over to " : ": wish for a backup on ") + lo.name);
-    return true;
+    auto whole = std::all_of(c.step.begin(), c.step.end(), [&](const auto& m) { return combs.count(name_of(m)) > 0; });
+    if (!whole) continue;  // what lacks a copy is mended first
+    auto zones_with = [&](const std::string& replaced) {
+      auto zones = std::set<std::string>();
+      for (const auto& m : c.step)
+        zones.insert(name_of(m) == replaced ? lo.zone : combs[name_of(m)].zone);
+      return zones.size();
+    };
+    auto holds_lo = std::any_of(c.step.begin(), c.step.end(), [&](const auto& m) { return name_of(m) == lo.name; });
+    auto leads = name_of(c.prim) == hi.name;
+    for (const auto& m : c.backups()) {
+      auto backup = name_of(m);
+      auto hand = kind == shift::hand && leads && backup == lo.name;
+      // Copies stand in no fewer zones after a move than before it.
+      auto apart = !holds_lo && zones_with(backup) >= zones_with("") && zones_with(backup) > 1;
+      auto copy = apart && ((kind == shift::back && backup == hi.name) || (kind == shift::later && leads));
+      if (!hand && !copy) continue;
+      wish = {{id, name_of(c.prim), hand ? "" : lo.name, hand ? "" : backup, hand ? lo.name : ""}};
+      wished = h.now();
+      hive::log(
+          grade::note, set.name,
+          id + (hand ? ": wish that " + name_of(c.prim) + " hands it over to " : ": wish for a backup on ") + lo.name);
+      return true;
+    }
   }
   return false;
 }
--- a/queen/queen.hpp
+++ b/queen/queen.hpp
@@ -71,6 +71,11 @@
   [[nodiscard]] auto all_lost(const cell_row& c) const -> bool;
   auto refound(std::string id, bool forsake) -> task<tree>;
   auto balance() -> void;
+  // How many copies a partition of this pool is to have.
+  [[nodiscard]] auto copies_of(const std::string& pool) const -> std::int64_t;
+  // The members for a partition that is founded: the least laden nodes first, each in a zone of its own while there is
+  // one. Empty: no two zones have a node.
+  [[nodiscard]] static auto founders(const std::vector<seat>& by_load, std::int64_t copies) -> std::vector<seat>;
   enum class shift { back, hand, later };  // a backup moves; a lead is handed over; a backup moves so that the lead can
   auto wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool;
   auto loads() const -> std::map<std::string, std::int64_t>;
@@ -107,9 +112,14 @@
   std::int64_t grant_cells = 0, boot = 0, bump = 0;
   tick granted_at = -never;  // when the leader was last asked for leases and gave them: a round trip
   signal news;
-  struct move {  // a wish to a primary: another backup, or to hand over to the one it has
-    std::string cell, prim, back;
-    bool hand = false;
+  struct move {  // a wish to a primary: another backup in the place of one it has, or to hand over to one it has
+    std::string cell, prim;
+    std::string back;      // the node wanted as a backup; empty: hand over
+    std::string replaced;  // the backup whose place it takes
+    std::string lead;      // whom to hand over to
+    [[nodiscard]] auto hands_over() const -> bool { return back.empty(); }
+    [[nodiscard]] auto to_tree() const -> tree;
+    static auto from_tree(const tree& t) -> move;
   };
   std::vector<move> wish;
   tick wished = 0;
--- a/queen/realm.cpp
+++ b/queen/realm.cpp
@@ -19,12 +19,14 @@
   auto s = twigs();
   for (const auto& m : step)
     s.emplace_back(m);
+  // "back" is for readers: the set says it all.
+  auto others = backups();
+  auto back = others.empty() ? std::string() : others.front();
   return branch{{"epoch", epoch}, {"root", root}, {"prim", prim}, {"back", back},
                 {"step", s},      {"idx", idx},   {"why", why}};
 }
 auto cell_row::from_tree(const tree& t) -> cell_row {
-  auto r = cell_row{num(t, "epoch"),     num_or(t, "root", 0), str(t, "prim"), str(t, "back"), {},
-                    num_or(t, "idx", 0), str_or(t, "why")};
+  auto r = cell_row{num(t, "epoch"), num_or(t, "root", 0), str(t, "prim"), {}, num_or(t, "idx", 0), str_or(t, "why")};
   for (const auto& m : list(t, "step"))
     r.step.emplace_back(m.as_string());
   return r;
@@ -32,12 +34,17 @@
 auto cell_row::in_step(const std::string& m) const -> bool {
   return std::find(step.begin(), step.end(), m) != step.end();
 }
-auto cell_row::holds(const std::string& m) const -> bool { return prim == m || back == m || in_step(m); }
+auto cell_row::backups() const -> std::vector<std::string> {
+  auto out = std::vector<std::string>();
+  std::copy_if(step.begin(), step.end(), std::back_inserter(out), [&](const auto& m) { return m != prim; });
+  return out;
+}
+auto cell_row::holds(const std::string& m) const -> bool { return prim == m || in_step(m); }
 
 auto realm::held_by(const std::string& name) const -> std::vector<std::string> {
   auto out = std::vector<std::string>();
   for (const auto& [id, c] : cells) {
-    auto hit = name_of(c.prim) == name || name_of(c.back) == name ||
+    auto hit = name_of(c.prim) == name ||
                std::any_of(c.step.begin(), c.step.end(), [&](auto& m) { return name_of(m) == name; });
     if (hit) out.push_back(id);
   }
@@ -131,12 +138,14 @@
   auto no = [&](const char* why) -> tree { return branch{{"ok", false}, {"why", why}, {"row", now.to_tree()}}; };
   if (now.epoch != next.epoch) return no("another epoch stands");
   if (next.prim.empty() || !next.in_step(next.prim)) return no("a primary must be in step");
-  if (!next.back.empty() && name_of(next.back) == name_of(next.prim)) return no("a pair wants two nodes");
+  auto nodes = std::set<std::string>();
+  for (const auto& m : next.step)
+    if (!nodes.insert(name_of(m)).second) return no("copies want different nodes");
   if (now.epoch > 0 && !now.in_step(next.prim)) return no("only a node in step may hold the cell");
   // Told done, a retired node gets nothing again, also by a move that was under way.
   for (const auto& [n, l] : leavings) {
     auto is_n = [&, n = n](const std::string& m) { return name_of(m) == n; };
-    if (l.kind == "retire" && l.done && (is_n(next.back) || std::any_of(next.step.begin(), next.step.end(), is_n)))
+    if (l.kind == "retire" && l.done && std::any_of(next.step.begin(), next.step.end(), is_n))
       return no("a retired node holds nothing");
   }
   next.epoch = now.epoch + 1;
--- a/queen/realm.hpp
+++ b/queen/realm.hpp
@@ -13,13 +13,14 @@
 // Who holds a cell. A member is "name/disk": a lost disk makes another member.
 struct cell_row {
   std::int64_t epoch = 0, root = 0;  // root: the epoch at which it was founded again, if ever
-  std::string prim, back;
-  std::vector<std::string> step;  // the in-step set: who may claim
+  std::string prim;
+  std::vector<std::string> step;  // the in-step set: the primary and its backups; each of them may claim
   std::int64_t idx = 0;           // the ledger entry that said so
   std::string why;
 
   [[nodiscard]] auto to_tree() const -> tree;
   static auto from_tree(const tree& t) -> cell_row;
+  [[nodiscard]] auto backups() const -> std::vector<std::string>;
   [[nodiscard]] auto holds(const std::string& m) const -> bool;
   [[nodiscard]] auto in_step(const std::string& m) const -> bool;
 };
--- a/queen/session_service.cpp
+++ b/queen/session_service.cpp
@@ -167,7 +167,7 @@
         granted_at = std::max(granted_at, sent);
         wish.clear();
         for (const auto& m : list(r, "wish"))
-          wish.push_back({str(m, "cell"), str(m, "prim"), str(m, "back"), yes(m, "hand")});
+          wish.push_back(move::from_tree(m));
         deadlines.add(num(r, "need"), sent);
         if (const auto& due = sub(r, "due"); due.is_array()) deadlines.merge(due.get_array(), sent);
         newest_agreed = std::max({newest_agreed, num(r, "need"), num_or(r, "newest", 0)});
@@ -227,7 +227,7 @@
     }
     auto ws = twigs();
     for (const auto& m : wish)
-      ws.push_back(branch{{"cell", m.cell}, {"prim", m.prim}, {"back", m.back}, {"hand", m.hand}});
+      ws.push_back(m.to_tree());
     out["wish"] = ws;
     out["grant"] = true;
     for (auto& field : versions_to_tree(h.now(), yes(t, "deadlines")))
--- a/scout/view_test.cpp
+++ b/scout/view_test.cpp
@@ -35,7 +35,7 @@
 TEST(view_pulls, only_what_is_lacking_and_never_back) {
   auto a = hive::view(), b = hive::view();
   a.law = version(R"({"number":4,"spaces":[]})");
-  a.cells["s/0"] = {3, 0, "x/1", "y/1", {"x/1", "y/1"}, 9, ""};
+  a.cells["s/0"] = {3, 0, "x/1", {"x/1", "y/1"}, 9, ""};
   a.cells_ver = 9;
   a.tables["q1"].put(row("x", "comb", "z"), 7);
   CHECK(b.merge(a.lacks(b.vec())));
@@ -43,7 +43,7 @@
   CHECK(b.find("x") != nullptr);
   auto old = hive::view();
   old.law = version(R"({"number":3,"spaces":[]})");
-  old.cells["s/0"] = {2, 0, "y/1", "x/1", {"x/1", "y/1"}, 5, ""};
+  old.cells["s/0"] = {2, 0, "y/1", {"x/1", "y/1"}, 5, ""};
   old.cells_ver = 5;
   old.tables["q2"].ver = 1;
   auto none = hive::view();
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -88,7 +88,8 @@
   CHECK(f.begin());
   auto id = std::string("alerts/0");
   auto tried = 0;
-  for (const auto& who : {f.primary_of(id), name_of(f.all.at(f.primary_of(id))->c->ses.known.cells.at(id).back)}) {
+  for (const auto& who :
+       {f.primary_of(id), name_of(f.all.at(f.primary_of(id))->c->ses.known.cells.at(id).backups().at(0))}) {
     auto& c = *f.all.at(who)->c;
     auto last = num(c.cell_at(id)->stand(), "last");
     auto said = std::make_shared<std::string>();
@@ -348,7 +349,7 @@
   auto id = std::string("alerts/0");
   auto old = f.primary_of(id);
   auto row = f.all.at(old)->c->ses.known.cells.at(id);
-  auto who = name_of(row.back);
+  auto who = name_of(row.backups().at(0));
   f.kill(old);
   auto at = num(f.all.at(who)->c->cell_at(id)->stand(), "last");
   f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, cell_row r, std::int64_t prev) -> task<void> {
