--- a/comb/cell.hpp
+++ b/comb/cell.hpp
@@ -171,6 +171,7 @@
   std::int64_t feeds = 0;         // feeding tasks begun
   std::int64_t joins = 0;         // joins asked for: a copy of the state belongs to one of them
   tick fresh_since = 0;
+  tick next_draw = 0;  // after a draw in vain, where a backup stands
   std::set<std::string> barred;
   std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
   struct ear {   // where a subscription's deliveries go, and from which entry on:
--- a/comb/cell_replicas.cpp
+++ b/comb/cell_replicas.cpp
@@ -155,7 +155,7 @@
   std::erase_if(sound, [&](const auto& m) { return lost.count(m) > 0 || leaves(m); });
   auto short_of = sound.size() + 1 < copies_wanted();
   auto wished = wish();
-  if (fresh_back.empty() && short_of) co_await draw_copy(sound);
+  if (fresh_back.empty() && short_of && (sound.empty() || h.now() >= next_draw)) co_await draw_copy(sound);
   if (role != part::prim) co_return;
   // Where no node is left to draw, what there is may still be evened out.
   if (fresh_back.empty() && !sound.empty() && !wished.backup.empty()) begin_copy(wished.backup);
@@ -190,6 +190,7 @@
     begin_copy(member);
   } catch (const verdict& v) {
     barred.clear();
+    next_draw = h.now() + g.set.lose / 2;
     hive::log(grade::fine, g.set.name, id + ": " + v.what());
   }
 }
--- a/queen/placement.cpp
+++ b/queen/placement.cpp
@@ -233,23 +233,32 @@
         if (use[hi->name] - use[lo.name] >= (kind == shift::later ? 4 : 3) && wish_move(kind, *hi, lo, combs)) return;
 }
 
+namespace {
+
+// In how many zones the copies would stand, were one of them replaced by a copy on this node. All stand on `combs`.
+auto zone_count(const cell_row& row, const std::map<std::string, seat>& combs, const std::string& replaced,
+                const seat& by) -> std::size_t {
+  auto zones = std::set<std::string>();
+  for (const auto& m : row.step)
+    zones.insert(name_of(m) == replaced ? by.zone : combs.at(name_of(m)).zone);
+  return zones.size();
+}
+
+}  // namespace
+
 auto queen::wish_move(shift kind, const seat& hi, const seat& lo, std::map<std::string, seat>& combs) -> bool {
   for (const auto& [id, c] : law.cells) {
     auto whole = std::all_of(c.step.begin(), c.step.end(), [&](const auto& m) { return combs.count(name_of(m)) > 0; });
     if (!whole) continue;  // what lacks a copy is mended first
-    auto zones_with = [&](const std::string& replaced) {
-      auto zones = std::set<std::string>();
-      for (const auto& m : c.step)
-        zones.insert(name_of(m) == replaced ? lo.zone : combs[name_of(m)].zone);
-      return zones.size();
-    };
+    auto zones_now = zone_count(c, combs, "", lo);
     auto holds_lo = std::any_of(c.step.begin(), c.step.end(), [&](const auto& m) { return name_of(m) == lo.name; });
     auto leads = name_of(c.prim) == hi.name;
     for (const auto& m : c.backups()) {
       auto backup = name_of(m);
       auto hand = kind == shift::hand && leads && backup == lo.name;
       // Copies stand in no fewer zones after a move than before it.
-      auto apart = !holds_lo && zones_with(backup) >= zones_with("") && zones_with(backup) > 1;
+      auto zones_then = zone_count(c, combs, backup, lo);
+      auto apart = !holds_lo && zones_then >= zones_now && zones_then > 1;
       auto copy = apart && ((kind == shift::back && backup == hi.name) || (kind == shift::later && leads));
       if (!hand && !copy) continue;
       wish = {{id, name_of(c.prim), hand ? "" : lo.name, hand ? "" : backup, hand ? lo.name : ""}};
--- /dev/null
+++ b/wax/durable_env.cpp
@@ -0,0 +1,43 @@
+#include "wax/durable_env.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+#include "wax/aside.hpp"
+
+namespace hive {
+namespace {
+
+constexpr auto log_ending = ".log";
+
+auto folder_of(const std::string& file) -> std::string { return std::filesystem::path(file).parent_path().string(); }
+
+}  // namespace
+
+auto sync_folder(const std::string& folder) -> leveldb::Status {
+  auto handle = fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  if (handle.get() < 0 || ::fsync(handle.get()) != 0) return leveldb::Status::IOError(folder, std::strerror(errno));
+  return leveldb::Status::OK();
+}
+
+auto durable_env::NewWritableFile(const std::string& name, leveldb::WritableFile** out) -> leveldb::Status {
+  auto made = target()->NewWritableFile(name, out);
+  if (!made.ok() || !name.ends_with(log_ending)) return made;
+  auto synced = sync_names(folder_of(name));
+  if (!synced.ok()) {
+    delete *out;  // as LevelDB's interface hands it over
+    *out = nullptr;
+  }
+  return synced;
+}
+
+auto durable_env::RenameFile(const std::string& from, const std::string& to) -> leveldb::Status {
+  auto renamed = target()->RenameFile(from, to);
+  return renamed.ok() ? sync_names(folder_of(to)) : renamed;
+}
+
+}  // namespace hive
--- a/wax/evhost.cpp
+++ b/wax/evhost.cpp
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "wax/aside.hpp"
+#include "wax/durable_env.hpp"
 #include "wax/ring.hpp"
 #include "wax/torn_tail.hpp"
 #include "wax/verdict.hpp"
@@ -154,20 +155,25 @@
   watch eye;
 };
 
+auto names_last() -> durable_env& {
+  static auto env = durable_env(leveldb::Env::Default());
+  return env;
+}
+
 // Opens the files in a folder; what a loss of power tore of the last write goes.
 auto open_files(const std::string& folder) -> std::unique_ptr<leveldb::DB> {
   auto opt = leveldb::Options();
   opt.create_if_missing = true;
   opt.paranoid_checks = true;
+  opt.env = &names_last();
   auto* raw = static_cast<leveldb::DB*>(nullptr);
   auto s = leveldb::DB::Open(opt, folder, &raw);
   if (s.IsCorruption() && cut_torn_tail(folder)) s = leveldb::DB::Open(opt, folder, &raw);
   if (!s.ok()) throw verdict("disk", "data folder " + folder + ": " + s.ToString());
   auto out = std::unique_ptr<leveldb::DB>(raw);
   // Names that opening has made or removed last only after a sync of their folder.
-  auto dir = fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (dir.get() < 0 || ::fsync(dir.get()) != 0)
-    throw verdict("disk", "data folder " + folder + ": " + std::strerror(errno));
+  if (auto synced = sync_folder(folder); !synced.ok())
+    throw verdict("disk", "data folder " + folder + ": " + synced.ToString());
   return out;
 }
 
