Partitions under the field's names: partition, replica, released and synced index; one read of pending changes

comb/cell* and hoard* are comb/partition* and partition_state*; strings on the wire, on disk and in status stay.

--- a/comb/comb.cpp
+++ b/comb/comb.cpp
@@ -67,16 +67,16 @@
 }
 
 auto comb::reach(const std::string& addr) -> colleague& {
-  auto& c = mates[addr];
+  auto& c = peers[addr];
   if (!c) {
     c = std::make_unique<colleague>(h, colleague::ways{set.name, addr, set.beat, set.lose,
                                                        [this, addr] { return ses.known.vias(set.zone, addr); }});
     c->on_note = [this](const tree& t) {
       if (str_or(t, "op") != "c.ack") return;
-      if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_ack(str(t, "me"), t);
+      if (auto it = partitions.find(str(t, "cell")); it != partitions.end()) it->second->on_ack(str(t, "me"), t);
     };
     auto look = [this] {
-      for (auto& [id, one] : cells)
+      for (auto& [id, one] : partitions)
         one->link_turned();
     };
     c->on_turn = [look](bool) { look(); };
@@ -85,11 +85,12 @@
   return *c;
 }
 
-auto comb::add(const std::string& id) -> cell& {
-  auto& c = cells[id];
+auto comb::add(const std::string& id) -> partition& {
+  auto& c = partitions[id];
   if (!c)
-    c = std::make_unique<cell>(
-        ground{h, set, ses, [this](const std::string& a) -> colleague& { return reach(a); }, [this] { return going; }},
+    c = std::make_unique<partition>(
+        partition_context{h, set, ses, [this](const std::string& a) -> colleague& { return reach(a); },
+                          [this] { return going; }},
         id);
   return *c;
 }
@@ -111,15 +112,15 @@
     if (!ses.fresh() || h.disk()->broken()) continue;  // a copy that cannot be read now is not a damaged one
     auto me = ses.me.member();
     for (const auto& [id, r] : ses.known.cells)
-      if (r.holds(me) && !cells.count(id)) add(id);
-    for (auto& [id, c] : cells)
-      if (auto it = ses.known.cells.find(id); it != ses.known.cells.end()) c->meet(it->second);
+      if (r.holds(me) && !partitions.count(id)) add(id);
+    for (auto& [id, c] : partitions)
+      if (auto it = ses.known.cells.find(id); it != ses.known.cells.end()) c->apply_row(it->second);
     auto use = std::int64_t{0};
-    for (auto it = cells.begin(); it != cells.end();) {
-      if (it->second->spent()) {  // its pair stands elsewhere: the old copy goes
+    for (auto it = partitions.begin(); it != partitions.end();) {
+      if (it->second->obsolete()) {  // its pair stands elsewhere: the old copy goes
         hive::log(grade::note, set.name, it->first + ": old copy removed");
         it->second->wipe();
-        it = cells.erase(it);
+        it = partitions.erase(it);
       } else {
         use += it->second->load_units();
         ++it;
@@ -140,7 +141,7 @@
     auto refused = false;
     auto way = co_await h.dial(addr, end, &refused);
     if (refused) {
-      for (auto& [id, one] : cells)
+      for (auto& [id, one] : partitions)
         one->primary_gone(name);
       co_return;
     }
@@ -155,8 +156,8 @@
 
 auto comb::serving() const -> std::int64_t {
   auto out = ses.known.law ? ses.known.law->number : 0;
-  for (const auto& [id, c] : cells)
-    if (c->live()) out = std::min(out, c->law());
+  for (const auto& [id, c] : partitions)
+    if (c->live()) out = std::min(out, c->configuration_number());
   return out;
 }
 
@@ -167,7 +168,7 @@
 }
 
 auto comb::queue(command c) -> void {
-  auto at = c.what == command::kind::lost ? 0 : lane(c.cell);
+  auto at = c.what == command::kind::lost ? 0 : lane(c.partition);
   lanes[at].push_back(std::move(c));
   more.wake();
 }
@@ -184,18 +185,18 @@
       ++worked;
       if (c.what == command::kind::lost) {
         auto led = false;
-        for (auto& [id, one] : cells) {
+        for (auto& [id, one] : partitions) {
           one->lost(c.w);
           led |= one->channel_closed(c.w);
         }
         if (led) home.spawn(inquire(c.w->who));
         break;
       }
-      auto it = cells.find(c.cell);
+      auto it = partitions.find(c.partition);
       try {
-        if (it == cells.end()) {
+        if (it == partitions.end()) {
           if (c.s) {
-            c.s->bad = verdict("not_here", c.cell + " is not held here", ran::no, set.beat / msec);
+            c.s->bad = verdict("not_here", c.partition + " is not held here", ran::no, set.beat / msec);
             c.s->done.wake();
           } else if (c.what == command::kind::subscribe) {
             c.w->tell(branch{{"op", "subbed"},
@@ -237,7 +238,7 @@
     auto id = str(t, "cell");
     auto kind = op == "pub" ? command::kind::publish : op == "read" ? command::kind::read : command::kind::count;
     if (lanes[lane(id)].size() >= lane_most) throw verdict("busy", "too many requests wait", ran::no, set.lag / msec);
-    auto s = std::make_shared<cell::slot>();
+    auto s = std::make_shared<partition::pending_reply>();
     queue({kind, id, std::move(t), w, s});
     auto end = h.now() + set.lose * 2;
     while (!s->out && !s->bad) {
@@ -262,9 +263,9 @@
   auto op = str_or(t, "op");
   try {
     if (op == "c.log") {
-      if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_log(w, t);
+      if (auto it = partitions.find(str(t, "cell")); it != partitions.end()) it->second->on_log(w, t);
     } else if (op == "c.wait") {
-      if (auto it = cells.find(str(t, "cell")); it != cells.end()) it->second->on_wait(num(t, "epoch"));
+      if (auto it = partitions.find(str(t, "cell")); it != partitions.end()) it->second->on_wait(num(t, "epoch"));
     } else if (op == "sub") {
       queue({command::kind::subscribe, str(t, "cell"), t, w, nullptr});
     } else if (op == "end") {
@@ -283,7 +284,7 @@
   hive::log(grade::note, set.name, "leaving: cells are handed over");
   while (h.now() < limit) {
     auto left = 0;
-    for (const auto& [id, c] : cells)
+    for (const auto& [id, c] : partitions)
       left += c->live();
     if (!left) break;
     co_await rest(h, set.beat / 4);
@@ -300,15 +301,15 @@
   throw verdict("not_found", "no page " + r.path);
 }
 
-auto comb::cell_at(const std::string& id) const -> const cell* {
-  auto it = cells.find(id);
-  return it == cells.end() ? nullptr : it->second.get();
+auto comb::partition_at(const std::string& id) const -> const partition* {
+  auto it = partitions.find(id);
+  return it == partitions.end() ? nullptr : it->second.get();
 }
 
 auto comb::status() const -> tree {
   auto cs = branch();
-  for (const auto& [id, c] : cells)
-    cs[id] = c->stand();
+  for (const auto& [id, c] : partitions)
+    cs[id] = c->status();
   auto wait = std::size_t{0};
   for (const auto& l : lanes)
     wait += l.size();
--- a/comb/cell.hpp
+++ b/comb/partition.hpp
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "comb/hoard.hpp"
+#include "comb/partition_state.hpp"
 #include "scout/session.hpp"
 #include "wax/colleague.hpp"
 #include "wax/config.hpp"
@@ -21,7 +21,7 @@
 auto entry_bytes(const tree& entry) -> std::size_t;
 
 // What a cell needs of the comb it stands on.
-struct ground {
+struct partition_context {
   host& h;
   const config& set;
   session& ses;
@@ -29,24 +29,24 @@
   std::function<bool()> leaving;  // this comb is going down
 };
 
-class cell {
+class partition {
  public:
-  struct slot {  // a publish or read that waits for its answer
+  struct pending_reply {  // a publish or read that waits for its answer
     std::optional<tree> out;
     std::optional<verdict> bad;
     signal done;
   };
-  using slot_ptr = std::shared_ptr<slot>;
+  using pending_reply_ptr = std::shared_ptr<pending_reply>;
 
-  cell(ground g, std::string id);
+  partition(partition_context context, std::string id);
 
   // Commands, worked by the comb's one owner task.
-  auto publish(const tree& t, slot_ptr s) -> void;
+  auto publish(const tree& t, pending_reply_ptr s) -> void;
   auto subscribe(const tree& t, const wire_ptr& w) -> void;
   auto finish(const std::string& sid) -> void;
-  auto read(const tree& t, slot_ptr s) -> void;
-  auto count(const tree& t, slot_ptr s) -> void;  // who is subscribed to a topic
-  auto lost(const wire_ptr& w) -> void;           // a forager's link ended
+  auto read(const tree& t, pending_reply_ptr s) -> void;
+  auto count(const tree& t, pending_reply_ptr s) -> void;  // who is subscribed to a topic
+  auto lost(const wire_ptr& w) -> void;                    // a forager's link ended
 
   // The logging channel.
   auto on_join(tree t) -> task<tree>;
@@ -55,31 +55,33 @@
   auto on_wait(std::int64_t epoch) -> void;            // its new primary still replays
   auto channel_closed(const wire_ptr& w) -> bool;      // did this cell follow a primary on it?
   auto primary_gone(const std::string& name) -> void;  // that comb's process is known to be dead
-  auto link_turned() -> void { grown.wake(); }         // a copy's link came up or fell
+  auto link_turned() -> void { log_grown.wake(); }     // a copy's link came up or fell
   auto on_ack(const std::string& member, const tree& t) -> void;
 
-  [[nodiscard]] auto load_units() const -> std::int64_t { return role == part::prim ? 2 : role == part::back ? 1 : 0; }
+  [[nodiscard]] auto load_units() const -> std::int64_t {
+    return role == replica_role::primary ? 2 : role == replica_role::backup ? 1 : 0;
+  }
   // Held by nobody's word any more, quiet for long, and nothing is at work in it.
-  [[nodiscard]] auto spent() const -> bool;
+  [[nodiscard]] auto obsolete() const -> bool;
   auto wipe() -> void;
-  [[nodiscard]] auto live() const -> bool { return role == part::prim; }
-  [[nodiscard]] auto stand() const -> tree;
-  [[nodiscard]] auto law() const -> std::int64_t;  // the number of the configuration that it works by
+  [[nodiscard]] auto live() const -> bool { return role == replica_role::primary; }
+  [[nodiscard]] auto status() const -> tree;
+  [[nodiscard]] auto configuration_number() const -> std::int64_t;  // the number of the configuration that it works by
   [[nodiscard]] auto usage() const -> std::int64_t { return admitted; }
-  auto meet(const cell_row& r) -> void;  // the ledger's word, as the session brings it
+  auto apply_row(const cell_row& r) -> void;  // the ledger's word, as the session brings it
   const std::string id;
 
  private:
-  enum class part { idle, back, prim };
+  enum class replica_role { idle, backup, primary };
   struct entry {
     std::int64_t epoch;
     bool go;  // a go-live point: the last entry of its operation
     tree e;
     tick born;
   };
-  struct mate {  // what the primary knows of one copy it feeds
-    std::int64_t next = 0, got = -1, done = -1;
-    std::int64_t brought = -1;  // what it lacked when it joined: bringing that is not lag
+  struct replica {  // what the primary knows of one copy it feeds
+    std::int64_t next = 0, acked = -1, done = -1;
+    std::int64_t lacked_at_join = -1;  // what it lacked when it joined: bringing that is not lag
     tick heard = 0;
     bool joined = false, nacked = false;
     bool gone = false;  // its process is known to be dead
@@ -96,20 +98,20 @@
   struct pending {
     std::int64_t idx;
     output out;
-    slot_ptr to;  // for reads and repeats
+    pending_reply_ptr to;  // for reads and repeats
     tree reply;
   };
 
-  [[nodiscard]] auto me() const -> std::string { return g.ses.me.member(); }
+  [[nodiscard]] auto me() const -> std::string { return context.ses.me.member(); }
   [[nodiscard]] auto last() const -> std::int64_t { return base + static_cast<std::int64_t>(log.size()); }
   [[nodiscard]] auto epoch_at(std::int64_t i) const -> std::int64_t;
   [[nodiscard]] auto kept() const -> bool { return state.keep > 0; }
   [[nodiscard]] auto key(std::int64_t i) const -> std::string;
-  [[nodiscard]] auto safe() const -> std::int64_t;         // up to here outputs may go out
-  [[nodiscard]] auto lag_of(const mate& k) const -> tick;  // real-time lag of its replay
-  [[nodiscard]] auto doubtful() const -> bool;             // is an output waiting for a copy that does not answer?
+  [[nodiscard]] auto safe() const -> std::int64_t;            // up to here outputs may go out
+  [[nodiscard]] auto lag_of(const replica& k) const -> tick;  // real-time lag of its replay
+  [[nodiscard]] auto awaits_silent_backup() const -> bool;    // is an output waiting for a copy that does not answer?
   [[nodiscard]] auto in_touch(const std::string& member) const -> bool;
-  [[nodiscard]] auto lone() const -> bool;  // keeps messages, and no backup is in touch
+  [[nodiscard]] auto unreplicated() const -> bool;  // keeps messages, and no backup is in touch
   [[nodiscard]] auto copies_wanted() const -> std::size_t;
   [[nodiscard]] auto lost_backups() const -> std::set<std::string>;  // silent for `lose`, or with their disk gone
   [[nodiscard]] auto leaves(const std::string& member) const -> bool;
@@ -119,20 +121,20 @@
   [[nodiscard]] auto disk_lost(const std::string& member) const -> bool;
   auto load() -> void;
   auto save() -> void;  // a capture to disk; entries before it go
-  auto push(entry e) -> std::int64_t;
+  auto append(entry e) -> std::int64_t;
   auto operate(std::vector<tree> row) -> void;  // one operation: entries, the last a go-live point
   auto release() -> void;
   auto dispatch(pending& p) -> void;
   auto clock_entry() -> std::vector<tree>;
-  [[nodiscard]] auto law_entry() const -> std::optional<tree>;
-  auto watch() -> task<void>;
-  auto settle() -> task<void>;
+  [[nodiscard]] auto configuration_entry() const -> std::optional<tree>;
+  auto follow_and_lead() -> task<void>;
+  auto flush_log() -> task<void>;
   auto replay() -> task<void>;
-  auto feed(std::string member, std::int64_t stint, std::int64_t number) -> task<void>;
+  auto feed(std::string member, std::int64_t leadership, std::int64_t number) -> task<void>;
   auto start_feed(const std::string& member) -> void;
   auto propose(cell_row next, std::string why) -> task<bool>;
   auto claim(std::string why) -> task<void>;
-  auto tend() -> task<void>;  // one round of what a primary owes its copies:
+  auto tend_replicas() -> task<void>;  // one round of what a primary owes its copies:
   auto log_time() -> void;
   auto forget_strays() -> void;
   auto slow_for_lag() -> void;
@@ -145,56 +147,57 @@
   auto hand_over() -> task<void>;
   auto go_live() -> void;
   auto halt(const std::string& why) -> void;
-  auto give_up(const std::string& why) -> void;  // final answers at once to what waits
-  auto pace() -> void;
+  auto refuse_waiting(const std::string& why) -> void;  // final answers at once to what waits
+  auto refill_tokens() -> void;
   auto ack(bool nack) -> void;
 
-  ground g;
+  partition_context context;
   host& h;
   store& disk;
-  part role = part::idle;
+  replica_role role = replica_role::idle;
   cell_row row;
-  std::int64_t stint = 0;
+  std::int64_t leadership = 0;
   bool broken = false;
-  hoard state;
+  partition_state state;
   std::deque<entry> log;
-  std::int64_t base = 0, base_epoch = 0, applied = 0, solid = 0, shelf = 0;
-  std::int64_t spoken = 0;  // the last entry of which an output has left: a copy that lacks it is not in step
+  std::int64_t base = 0, base_epoch = 0, applied = 0, synced = 0, trimmed = 0;
+  std::int64_t released = 0;  // the last entry of which an output has left: a copy that lacks it is not in step
   bool urgent = false;
   std::int64_t wipes = 0;  // a sync begun before one says nothing of what came after
   int inside = 0;          // joins and copies at work
-  std::deque<pending> outs;
-  std::map<std::string, mate> mates;
-  std::set<std::string> proving;  // copies whose ack is needed while a move is in flight
-  std::int64_t unsure = -1;       // the epoch at which a move was proposed whose answer never came
-  std::string fresh_back;         // the copy being made to restore redundancy, or for a wish
-  std::int64_t feeds = 0;         // feeding tasks begun
-  std::int64_t joins = 0;         // joins asked for: a copy of the state belongs to one of them
-  tick fresh_since = 0;
+  std::deque<pending> pending_outputs;
+  std::map<std::string, replica> replicas;
+  std::set<std::string> proving;      // copies whose ack is needed while a move is in flight
+  std::int64_t unsettled_epoch = -1;  // the epoch at which a move was proposed whose answer never came
+  std::string joining;                // the copy being made to restore redundancy, or for a wish
+  std::int64_t feeds = 0;             // feeding tasks begun
+  std::int64_t joins = 0;             // joins asked for: a copy of the state belongs to one of them
+  tick joining_since = 0;
   tick next_draw = 0;  // after a draw in vain, where a backup stands
-  std::set<std::string> barred;
-  std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<slot_ptr>> waits;
-  struct ear {   // where a subscription's deliveries go, and from which entry on:
-    wire_ptr w;  // what is older comes, if at all, with the answer of that entry
+  std::set<std::string> excluded;
+  std::map<std::pair<std::string, std::pair<std::string, std::int64_t>>, std::vector<pending_reply_ptr>>
+      waiting_publishes;
+  struct subscriber {  // where a subscription's deliveries go, and from which entry on:
+    wire_ptr w;        // what is older comes, if at all, with the answer of that entry
     std::int64_t from;
     std::int64_t turn;  // the forager's count of openings: the same one again is a retry
   };
-  std::map<std::string, ear> wires;    // by subscription
-  std::map<std::string, tick> lonely;  // subscriptions whose forager is gone
-  std::string lord;                    // whom this backup follows
-  std::int64_t lord_epoch = 0;
-  wire_ptr lord_wire;
+  std::map<std::string, subscriber> subscribers;  // by subscription
+  std::map<std::string, tick> unlinked;           // subscriptions whose forager is gone
+  std::string followed;                           // whom this backup follows
+  std::int64_t followed_epoch = 0;
+  wire_ptr followed_link;
   tick heard = 0, clock_at = 0, born_at = 0, back_at = 0;
   std::string copy_part;
   std::int64_t join_id = 0;  // the join that this backup answered last
   tick lag_was = 0;          // smoothed
   double share = 1;          // the admission share of gradual slowing
   double tokens = 0, peak = 0;
-  tick paced = 0, window = 0;
+  tick refilled_at = 0, window = 0;
   std::int64_t in_window = 0, admitted = 0, slowed = 0, stops = 0;
-  bool handing = false, hurry = true;  // the first look at the ledger's word is taken at once
-  bool lord_gone = false;              // the primary's process is known to be dead
-  signal grown, rows_in, stir, dirty;
+  bool handing_over = false, look_at_once = true;  // the first look at the ledger's word is taken at once
+  bool followed_gone = false;                      // the primary's process is known to be dead
+  signal log_grown, entries_received, wake_up, unsynced_entries;
   nest home;
 };
 
--- a/comb/hoard.cpp
+++ b/comb/partition_state.cpp
@@ -1,4 +1,4 @@
-#include "comb/hoard.hpp"
+#include "comb/partition_state.hpp"
 
 #include <algorithm>
 
@@ -25,13 +25,13 @@
     runs.erase(runs.begin());  // what is forgotten is refused, never run again
 }
 
-auto hoard::weigh(const std::string& who, const std::string& topic, std::int64_t seq) const -> standing {
+auto partition_state::weigh(const std::string& who, const std::string& topic, std::int64_t seq) const -> standing {
   auto it = callers.find({who, topic});
   if (it == callers.end() || seq > it->second.high) return standing::fresh;
   return it->second.has(seq) ? standing::repeat : standing::below;
 }
 
-auto hoard::close(const std::string& id) -> void {
+auto partition_state::close(const std::string& id) -> void {
   auto it = open.find(id);
   if (it == open.end()) return;
   auto& t = topics[it->second.topic];
@@ -40,7 +40,7 @@
   open.erase(it);
 }
 
-auto hoard::expire() -> void {
+auto partition_state::expire() -> void {
   auto age = std::max(keep, resend) + slack;
   for (auto& [name, t] : topics) {
     while (!t.kept.empty() && t.kept.front().at + std::max(t.kept.front().keep, resend) + slack < clock) {
@@ -59,7 +59,7 @@
     it = it->second.at + resend * callers_for < clock ? callers.erase(it) : std::next(it);
 }
 
-auto hoard::apply(std::int64_t pos, const tree& e) -> std::vector<output> {
+auto partition_state::apply(std::int64_t pos, const tree& e) -> std::vector<output> {
   auto out = std::vector<output>();
   auto k = str(e, "k");
   if (k == "c") {  // a clock read, or the timer that made one
@@ -115,7 +115,7 @@
   return out;
 }
 
-auto hoard::capture() const -> tree {
+auto partition_state::capture() const -> tree {
   auto ts = twigs();
   for (const auto& [name, t] : topics) {
     auto rows = twigs();
@@ -137,8 +137,8 @@
                 {"root", root},   {"topics", ts}, {"open", os},       {"callers", cs}};
 }
 
-auto hoard::restore(const tree& t) -> hoard {
-  auto h = hoard();
+auto partition_state::restore(const tree& t) -> partition_state {
+  auto h = partition_state();
   h.clock = num(t, "clock");
   h.keep = num(t, "keep");
   h.resend = num(t, "resend");
--- a/comb/hoard.hpp
+++ b/comb/partition_state.hpp
@@ -49,13 +49,13 @@
 
 enum class standing { fresh, repeat, below };
 
-class hoard {
+class partition_state {
  public:
   // Applies one entry; the same on both sides.
   auto apply(std::int64_t pos, const tree& e) -> std::vector<output>;
   [[nodiscard]] auto weigh(const std::string& who, const std::string& topic, std::int64_t seq) const -> standing;
   [[nodiscard]] auto capture() const -> tree;
-  static auto restore(const tree& t) -> hoard;
+  static auto restore(const tree& t) -> partition_state;
 
   std::int64_t clock = 0;  // milliseconds of the cell's own time, moved by logged reads only
   std::int64_t keep = 0, resend = 10000, law = 0;
--- a/comb/hoard_test.cpp
+++ b/comb/partition_state_test.cpp
@@ -1,4 +1,4 @@
-#include "comb/hoard.hpp"
+#include "comb/partition_state.hpp"
 
 #include <algorithm>
 
@@ -16,7 +16,7 @@
 }  // namespace
 TEST_GROUP(hoard_entries){};
 TEST(hoard_entries, repeats_and_late_ones) {
-  auto h = hive::hoard();
+  auto h = hive::partition_state();
   h.apply(1, pub("c", 5));
   h.apply(2, pub("c", 7));
   CHECK(h.weigh("c", "a/x", 5) == hive::standing::repeat);
@@ -27,7 +27,7 @@
   LONGS_EQUAL(2, h.topics["a/x"].kept.size());
 }
 TEST(hoard_entries, resume_gives_what_is_lacking_and_fails_only_when_expired) {
-  auto h = hive::hoard();
+  auto h = hive::partition_state();
   h.keep = 35000;
   h.apply(1, pub("c", 1));
   h.apply(2, tock(30000));
@@ -41,7 +41,7 @@
   CHECK(h.apply(7, open_at("s", 1))[0].what == hive::output::kind::opened);
 }
 TEST(hoard_entries, topics_that_come_and_go_leave_the_state) {
-  auto h = hive::hoard();
+  auto h = hive::partition_state();
   h.keep = 35000;
   auto most = std::size_t{0};
   for (auto i = 1; i <= 3000; ++i) {  // each used once, one in six seconds, for five hours
@@ -71,18 +71,18 @@
   CHECK(h.apply(7007, open_at("s", 7003))[0].what == hive::output::kind::opened);
 }
 TEST(hoard_entries, a_capture_is_the_whole_state) {
-  auto h = hive::hoard();
+  auto h = hive::partition_state();
   h.apply(1, open_at("s", -1));
   h.apply(2, pub("c", 5));
   h.apply(3, tock(1200));
-  auto two = hive::hoard::restore(h.capture());
+  auto two = hive::partition_state::restore(h.capture());
   CHECK(two.capture() == h.capture());
   auto a = h.apply(4, pub("c", 6)), b = two.apply(4, pub("c", 6));
   LONGS_EQUAL(a.size(), b.size());
   CHECK(two.capture() == h.capture());
 }
 TEST(hoard_entries, each_message_is_kept_as_long_as_its_own_space_says) {
-  auto h = hive::hoard();
+  auto h = hive::partition_state();
   h.keep = 35000;
   auto brief = pub("c", 1);
   brief.as_object()["keep"] = 0;  // still known for the resend window, as any
@@ -92,7 +92,7 @@
   h.apply(3, tock(15000));
   LONGS_EQUAL(0, h.topics["a/x"].kept.size());
   LONGS_EQUAL(1, h.topics["a/y"].kept.size());
-  auto two = hive::hoard::restore(h.capture());
+  auto two = hive::partition_state::restore(h.capture());
   CHECK(two.capture() == h.capture());
   two.apply(4, tock(7000));
   LONGS_EQUAL(0, two.topics["a/y"].kept.size());
--- a/swarm/copies_test.cpp
+++ b/swarm/copies_test.cpp
@@ -1,5 +1,5 @@
 // Copies of a partition: what a backup takes in, and where several of them stand (design 6.6, 6.11).
-#include "comb/hoard.hpp"
+#include "comb/partition_state.hpp"
 #include "swarm/fleet.hpp"
 #include "wax/ring.hpp"
 
@@ -12,7 +12,7 @@
 
 constexpr auto foreign_epoch = std::int64_t{1000};
 const auto foreign_primary = std::string("comb-9/x");
-const auto partition = std::string("alerts/0");
+const auto partition_id = std::string("alerts/0");
 
 auto calm_shape() -> shape {
   auto out = shape();
@@ -31,26 +31,27 @@
 }
 
 auto join_frame(std::int64_t join) -> tree {
-  return branch{{"op", "c.join"},          {"cell", partition}, {"epoch", foreign_epoch},
+  return branch{{"op", "c.join"},          {"cell", partition_id}, {"epoch", foreign_epoch},
                 {"from", foreign_primary}, {"join", join},      {"last", 0}};
 }
 
 // The whole state of an empty partition at this index, in one part.
 auto copy_frame(std::int64_t join, std::int64_t index) -> tree {
-  auto bytes = seal(branch{{"format", 1}, {"idx", index}, {"epoch", foreign_epoch}, {"state", hoard().capture()}});
+  auto bytes =
+      seal(branch{{"format", 1}, {"idx", index}, {"epoch", foreign_epoch}, {"state", partition_state().capture()}});
   auto hex = std::string();
   for (auto ch : bytes) {
     hex += "0123456789abcdef"[static_cast<unsigned char>(ch) >> 4];
     hex += "0123456789abcdef"[static_cast<unsigned char>(ch) & 15];
   }
-  return branch{{"op", "c.copy"}, {"cell", partition}, {"epoch", foreign_epoch}, {"from", foreign_primary},
+  return branch{{"op", "c.copy"}, {"cell", partition_id}, {"epoch", foreign_epoch}, {"from", foreign_primary},
                 {"join", join},   {"part", 0},         {"bytes", hex},           {"end", true}};
 }
 
 auto log_frame(std::int64_t previous) -> tree {
   auto rows = twigs{branch{{"v", foreign_epoch}, {"g", true}, {"e", branch{{"k", "c"}, {"d", 1}}}}};
   return branch{{"op", "c.log"},
-                {"cell", partition},
+                {"cell", partition_id},
                 {"epoch", foreign_epoch},
                 {"from", foreign_primary},
                 {"prev", previous},
@@ -59,7 +60,7 @@
 }
 
 auto node_without_copy(const fleet& f) -> std::string {
-  auto members = f.in_step(partition);
+  auto members = f.in_step(partition_id);
   for (const auto& n : f.names("comb"))
     if (std::find(members.begin(), members.end(), n) == members.end()) return n;
   return {};
@@ -121,10 +122,10 @@
   }(f, address, code));
   f.world.run(f.world.clock + 900 * msec);
   STRCMP_EQUAL("old", code->c_str());
-  const auto* copy = f.all.at(node)->c->cell_at(partition);
+  const auto* copy = f.all.at(node)->c->partition_at(partition_id);
   CHECK(copy != nullptr);
-  LONGS_EQUAL(7, num(copy->stand(), "last"));
-  LONGS_EQUAL(7, num(copy->stand(), "solid"));
+  LONGS_EQUAL(7, num(copy->status(), "last"));
+  LONGS_EQUAL(7, num(copy->status(), "solid"));
 }
 
 TEST(partition_copies, three_stand_in_three_zones_from_the_start) {
@@ -141,13 +142,13 @@
     auto f = fleet(static_cast<std::uint64_t>(seed), three_copies());
     CHECK(f.begin());
     auto set = f.all.at("comb-1")->set;
-    auto primary = f.primary_of(partition), silent = f.in_step(partition).back();
+    auto primary = f.primary_of(partition_id), silent = f.in_step(partition_id).back();
     f.freeze(silent, true);
     auto from = f.world.clock;
     auto shrunk = tick{0}, restored = tick{0};
     while (f.world.clock < from + 10 * sec && restored == 0) {
       f.world.run(f.world.clock + 10 * msec);
-      auto status = f.all.at(primary)->c->cell_at(partition)->stand();
+      auto status = f.all.at(primary)->c->partition_at(partition_id)->status();
       auto backups = list(status, "backups").size();
       if (backups == 1 && shrunk == 0) shrunk = f.world.clock;
       if (shrunk > 0 && backups == 2) restored = f.world.clock;
@@ -156,7 +157,7 @@
     CHECK(shrunk - from <= set.lose + 3 * set.beat);
     CHECK(restored > 0);
     CHECK(restored - from <= set.lose * 3);
-    STRCMP_EQUAL(primary.c_str(), f.primary_of(partition).c_str());
+    STRCMP_EQUAL(primary.c_str(), f.primary_of(partition_id).c_str());
   }
 }
 
--- a/swarm/fleet.cpp
+++ b/swarm/fleet.cpp
@@ -323,13 +323,13 @@
 auto fleet::primary_of(const std::string& cell) const -> std::string {
   for (const auto& [n, p] : all)
     if (p->c)
-      if (const auto* c = p->c->cell_at(cell); c && c->live()) return n;
+      if (const auto* c = p->c->partition_at(cell); c && c->live()) return n;
   return {};
 }
 auto fleet::backup_of(const std::string& cell) const -> std::string {
   for (const auto& [n, p] : all)
     if (p->c)
-      if (const auto* c = p->c->cell_at(cell); c && c->live()) return name_of(str_or(c->stand(), "back"));
+      if (const auto* c = p->c->partition_at(cell); c && c->live()) return name_of(str_or(c->status(), "back"));
   return {};
 }
 auto fleet::busiest() const -> std::string {
--- a/swarm/fleet_test.cpp
+++ b/swarm/fleet_test.cpp
@@ -91,7 +91,7 @@
   for (const auto& who :
        {f.primary_of(id), name_of(f.all.at(f.primary_of(id))->c->ses.known.cells.at(id).backups().at(0))}) {
     auto& c = *f.all.at(who)->c;
-    auto last = num(c.cell_at(id)->stand(), "last");
+    auto last = num(c.partition_at(id)->status(), "last");
     auto said = std::make_shared<std::string>();
     f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, std::int64_t at, std::int64_t epoch,
                      std::shared_ptr<std::string> o) -> task<void> {
@@ -114,11 +114,11 @@
       } catch (const verdict& v) {
         *o += v.code;
       }
-    }(f, f.all.at(who)->set.addr, id, last, num(c.cell_at(id)->stand(), "epoch"), said));
+    }(f, f.all.at(who)->set.addr, id, last, num(c.partition_at(id)->status(), "epoch"), said));
     f.world.run(f.world.clock + 200 * msec);
     STRCMP_EQUAL("nack old", said->c_str());
-    CHECK(num(c.cell_at(id)->stand(), "last") < last + 3);
-    STRCMP_EQUAL(tried ? "backup" : "primary", str(c.cell_at(id)->stand(), "role").c_str());
+    CHECK(num(c.partition_at(id)->status(), "last") < last + 3);
+    STRCMP_EQUAL(tried ? "backup" : "primary", str(c.partition_at(id)->status(), "role").c_str());
     ++tried;
   }
 }
@@ -351,7 +351,7 @@
   auto row = f.all.at(old)->c->ses.known.cells.at(id);
   auto who = name_of(row.backups().at(0));
   f.kill(old);
-  auto at = num(f.all.at(who)->c->cell_at(id)->stand(), "last");
+  auto at = num(f.all.at(who)->c->partition_at(id)->status(), "last");
   f.desk->spawn([](fleet& fl, std::string to, std::string cell_id, cell_row r, std::int64_t prev) -> task<void> {
     auto link = colleague(*fl.outside, colleague::ways{"test", to, 100 * msec, sec});
     while (!link.up())
@@ -367,7 +367,7 @@
     co_await rest(*fl.outside, sec);
   }(f, f.all.at(who)->set.addr, id, row, at));
   f.world.run(f.world.clock + 100 * msec);
-  LONGS_EQUAL(at + 1, num(f.all.at(who)->c->cell_at(id)->stand(), "last"));
+  LONGS_EQUAL(at + 1, num(f.all.at(who)->c->partition_at(id)->status(), "last"));
   f.world.run(f.world.clock + 4 * sec);
   STRCMP_EQUAL(who.c_str(), f.primary_of(id).c_str());
 }
@@ -435,8 +435,8 @@
       f.world.run(f.world.clock + 10 * msec);
       const auto* s = c.ses.known.find(lost);
       if (seen == never && c.ses.fresh() && s && !s->disk.empty()) seen = f.world.clock;
-      if (const auto* one = c.cell_at(id)) {
-        auto now = one->stand();
+      if (const auto* one = c.partition_at(id)) {
+        auto now = one->status();
         auto back = str(now, "back");
         if (str(now, "role") == "primary" && yes(sub(sub(now, "copies"), back.c_str()), "joined")) {
           const auto* b = c.ses.known.find(name_of(back));
@@ -469,7 +469,7 @@
         auto& c = *f.all.at(n)->c;
         if (c.ses.fresh()) fresh.emplace(n, f.world.clock);
         for (const auto& [id, row] : c.ses.known.cells)
-          if (const auto* one = c.cell_at(id); one && one->live() && name_of(row.prim) == n)
+          if (const auto* one = c.partition_at(id); one && one->live() && name_of(row.prim) == n)
             lives.emplace(n + " " + id, f.world.clock);
       }
     }
@@ -667,15 +667,15 @@
     auto end = f.world.clock + 8 * sec;
     auto said = std::int64_t{0};
     while (f.backup_of(id) != late && f.world.clock < end) {
-      if (const auto* c = f.all.at(prim)->c->cell_at(id); c && c->live()) said = num(c->stand(), "spoken");
+      if (const auto* c = f.all.at(prim)->c->partition_at(id); c && c->live()) said = num(c->status(), "spoken");
       f.world.run(f.world.clock + msec);
     }
     if (f.backup_of(id) != late || f.primary_of(id) != prim) continue;
     ++moves;
-    const auto* has = f.all.at(late)->c->cell_at(id);
+    const auto* has = f.all.at(late)->c->partition_at(id);
     CHECK(has != nullptr);
     CHECK(said > 0);
-    CHECK(num(has->stand(), "solid") >= said);
+    CHECK(num(has->status(), "solid") >= said);
   }
   CHECK(moves >= 2);
 }
--- a/wax/host.cpp
+++ b/wax/host.cpp
@@ -1,7 +1,5 @@
 #include "wax/host.hpp"
 
-#include <algorithm>
-
 #include "wax/verdict.hpp"
 
 namespace hive {
@@ -12,14 +10,11 @@
 }  // namespace
 
 auto store::get(const std::string& key) -> std::optional<std::string> {
-  auto is_it = [&](const deed& d) { return d.key == key; };
-  for (const auto* row : {&next, &held}) {
-    auto last = std::find_if(row->rbegin(), row->rend(), is_it);
-    if (last == row->rend()) continue;
-    if (last->cut) return {};
-    return last->val;
-  }
-  return get_written(key);
+  auto changes = pending(key);
+  auto change = changes.find(key);
+  if (change == changes.end()) return get_written(key);
+  if (change->second->cut) return {};
+  return change->second->val;
 }
 
 auto store::pending(const std::string& prefix) const -> pending_changes {
