--- a/swarm/copies_test.cpp
+++ b/swarm/copies_test.cpp
@@ -32,7 +32,7 @@
 
 auto join_frame(std::int64_t join) -> tree {
   return branch{{"op", "c.join"},          {"cell", partition_id}, {"epoch", foreign_epoch},
-                {"from", foreign_primary}, {"join", join},      {"last", 0}};
+                {"from", foreign_primary}, {"join", join},         {"last", 0}};
 }
 
 // The whole state of an empty partition at this index, in one part.
@@ -44,8 +44,10 @@
     hex += "0123456789abcdef"[static_cast<unsigned char>(ch) >> 4];
     hex += "0123456789abcdef"[static_cast<unsigned char>(ch) & 15];
   }
-  return branch{{"op", "c.copy"}, {"cell", partition_id}, {"epoch", foreign_epoch}, {"from", foreign_primary},
-                {"join", join},   {"part", 0},         {"bytes", hex},           {"end", true}};
+  return branch{{"op", "c.copy"},         {"cell", partition_id},
+                {"epoch", foreign_epoch}, {"from", foreign_primary},
+                {"join", join},           {"part", 0},
+                {"bytes", hex},           {"end", true}};
 }
 
 auto log_frame(std::int64_t previous) -> tree {
@@ -161,6 +163,35 @@
   }
 }
 
+// What a primary has released is on the disk of each backup in step, also of one whose disk is slow: any of them may be
+// the only one that is left.
+TEST(partition_copies, each_backup_has_synced_what_was_released) {
+  for (auto seed = 91; seed <= 94; ++seed) {
+    auto form = three_copies();
+    form.every = 50 * msec;
+    form.callers = 16;
+    auto f = fleet(static_cast<std::uint64_t>(seed), form);
+    CHECK(f.begin());
+    auto members = f.in_step(partition_id);
+    LONGS_EQUAL(3, members.size());
+    const auto* primary = f.all.at(members.front())->c->partition_at(partition_id);
+    for (auto slow = std::size_t{1}; slow < members.size(); ++slow) {
+      for (auto i = std::size_t{1}; i < members.size(); ++i)
+        f.all.at(members[i])->box->sync_cost = (i == slow ? 60 : 3) * msec;
+      auto released_before = num(primary->status(), "spoken");
+      for (auto end = f.world.clock + 2 * sec; f.world.clock < end;) {
+        f.world.run(f.world.clock + msec);
+        auto released = num(primary->status(), "spoken");
+        for (auto i = std::size_t{1}; i < members.size(); ++i) {
+          const auto* backup = f.all.at(members[i])->c->partition_at(partition_id);
+          CHECK(num(backup->status(), "solid") >= released);
+        }
+      }
+      CHECK(num(primary->status(), "spoken") > released_before + 10);
+    }
+  }
+}
+
 // With fewer nodes than copies wanted, partitions run with what there is, and refuse nothing for want of more.
 TEST(partition_copies, two_nodes_serve_though_three_are_wanted) {
   auto form = three_copies();
