--- a/review/1/run.py
+++ b/review/1/run.py
@@ -3,6 +3,8 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
+
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import fleet as stand
@@ -63,22 +65,30 @@
 
 
 def disrupt(fleet, joiner, control, lost, dead):
-    """A core machine freezes and a storage machine's process is killed; 0.38 s later the other core machines freeze too,
-    and a second storage machine is lost with its disk. All come back after four seconds, that one with an empty disk."""
+    """At 0 s a core machine freezes and a storage process is killed. At 0.38 s the other core machines freeze too, and a
+    second storage machine is lost with its disk. That one is back, empty, at 2.58 s, the killed one at 3.2 s, and the
+    core machines wake at 3.75 s. The joiner is left alone."""
     victim, killed = fleet.processes["storage", lost], fleet.processes["storage", dead]
+    begin = time.monotonic()
+
+    def until(moment):
+        time.sleep(max(0.0, begin + moment - time.monotonic()))
+
     fleet.processes["control", control].signal(signal.SIGSTOP)
     killed.kill()
-    time.sleep(0.38)
+    until(0.38)
     for node in fleet.controls:
         if node != control:
             fleet.processes["control", node].signal(signal.SIGSTOP)
     victim.kill()
     fleet.wipe(lost)
-    time.sleep(4.0)
+    until(2.58)
+    victim.start()
+    until(3.2)
+    killed.start()
+    until(3.75)
     for node in fleet.controls:
         fleet.processes["control", node].signal(signal.SIGCONT)
-    killed.start()
-    victim.start()
 
 
 def take_up(fleet, record, cursors, accepted, end):
