--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -37,7 +37,7 @@
 def free_ports(count):
     """Returns the first of `count` consecutive ports that no loopback address uses now."""
     for _ in range(200):
-        first = random.randrange(20000, 60000 - count)
+        first = random.randrange(12000, 32000 - count)  # below the ports of outgoing connections
         sockets = []
         try:
             for port in range(first, first + count):
@@ -433,6 +433,10 @@
         fleets.append(fleet)
         return fleet
 
+    def on_term(number, frame):
+        raise RuntimeError("stopped by a signal")
+
+    signal.signal(signal.SIGTERM, on_term)
     code = 2
     try:
         held = main(record, make_fleet)
