--- a/review/2/run.py
+++ b/review/2/run.py
@@ -29,10 +29,10 @@
 
 
 def choose_roles(fleet, record):
-    """Returns (joiner, its control node, node whose disk is lost, node that is killed), or None.
+    """Returns (joiner, its control node, node whose disk is lost, node that retires), or None.
 
     With three storage nodes and two copies, two nodes lead partitions and the third one holds all backups. When the
-    third one is killed, each leading node takes in the other one as its new backup: that one is the joiner. Its control
+    third one retires, each leading node takes in the other one as its new backup: that one is the joiner. Its control
     node must be a follower, and not that of the node whose disk is lost."""
     leading = leader(fleet)
     lives = {node: "went live" in fleet.processes["storage", node].log_text() for node in fleet.storages}
@@ -64,28 +64,28 @@
     raise RuntimeError("the sessions of the storage nodes never lay as the case needs them")
 
 
-def disrupt(fleet, joiner, control, lost, dead):
-    """At 0 s a core machine freezes and a storage process is killed. At 0.38 s the other core machines freeze too, and a
-    second storage machine is lost with its disk. That one is back, empty, at 2.58 s, the killed one at 3.2 s, and the
-    core machines wake at 3.75 s. The joiner is left alone."""
-    victim, killed = fleet.processes["storage", lost], fleet.processes["storage", dead]
+def disrupt(fleet, control, lost, retiring):
+    """A storage machine is to be emptied, as planned. At that moment (0 s) a core machine freezes, and at 0.38 s the other
+    core machines do. At 0.38 s the storage machine that leads is lost with its disk; it is back, empty, at 2.5 s. The core
+    machines wake at 3.75 s. The two other storage machines, the retiring one and the joiner, are left alone."""
+    victim = fleet.processes["storage", lost]
     begin = time.monotonic()
 
     def until(moment):
         time.sleep(max(0.0, begin + moment - time.monotonic()))
 
     fleet.processes["control", control].signal(signal.SIGSTOP)
-    killed.kill()
+    status, _ = fleet.order("POST", f"/retire/{retiring}", {"DurationS": 10}, first=leader(fleet))
+    if status != 200:
+        raise RuntimeError(f"the order to retire {retiring} was answered {status}")
     until(0.38)
     for node in fleet.controls:
         if node != control:
             fleet.processes["control", node].signal(signal.SIGSTOP)
     victim.kill()
     fleet.wipe(lost)
-    until(2.58)
+    until(2.5)
     victim.start()
-    until(3.2)
-    killed.start()
     until(3.75)
     for node in fleet.controls:
         fleet.processes["control", node].signal(signal.SIGCONT)
@@ -126,8 +126,8 @@
 
 def main(record, make_fleet):
     fleet, roles = start_fleet(record, make_fleet)
-    joiner, control, lost, dead = roles
-    record(f"joiner {joiner} with {control}; lost with its disk: {lost}; killed: {dead}")
+    joiner, control, lost, retiring = roles
+    record(f"joiner {joiner} with {control}; lost with its disk: {lost}; retires: {retiring}")
     reader = stand.Client(record, fleet.client_address("access-1"), "reader")
     writer = stand.Client(record, fleet.client_address("access-1"), "writer")
     if not reader.attach() or not writer.attach():
@@ -148,7 +148,7 @@
                 accepted.setdefault(topic, []).append((number, body))
     writer.close()
     if stand.trouble():
-        disrupt(fleet, joiner, control, lost, dead)
+        disrupt(fleet, control, lost, retiring)
     # RecoveryS (12 s) after all are back, plus two; all messages are younger than RetentionS (35 s) until then.
     expired, missing, unanswered = take_up(fleet, record, cursors, accepted, time.monotonic() + 14)
     record(f"accepted {number}: {sorted(accepted)}")
--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -424,7 +424,7 @@
 
 
 def run(main, folder):
-    """Runs main(record, fleet_factory); exits with 1 if it returns False (rule broken), 0 if True, 2 on any failure."""
+    """Runs main(record, fleet_factory); exits with 10 if it returns False (rule broken), 0 if True, 2 on any failure."""
     record = Record(os.path.join(folder, "record.txt"))
     fleets = []
 
@@ -440,7 +440,7 @@
     code = 2
     try:
         held = main(record, make_fleet)
-        code = 0 if held else 1
+        code = 0 if held else 10
         record("result: " + ("the rule held" if held else "the rule was broken"))
     except Exception as error:  # the case could not run
         record(f"result: could not run: {error!r}")
