Model checker: learn of a commit whose leader steps down in the same step

Cause: committed_by_leader() asked replicas that lead now. A leader whose disk fills up commits a joint entry by the disks of its followers and steps down in the same step, because its own sync fails.

Change: the newest leader's commit index counts until a newer leader is seen, also after it has stepped down. The checker learns of more commits, so every check on them becomes stricter; none is taken away.

--- a/tools/simulator/log_model.cpp
+++ b/tools/simulator/log_model.cpp
@@ -421,9 +421,11 @@
   struct committed_range {
     std::int64_t index = 0, term = 0;
   };
+  // Returns what the newest leader has committed. It may have stepped down in the same step in which it committed, and
+  // its commit index is from its own term as long as no newer leader was seen.
   [[nodiscard]] auto committed_by_leader() const -> committed_range {
     for (const auto& node : replicas_)
-      if (node->leads() && node->leads_term == invariants_.newest_term())
+      if (node->up() && node->leads_term == invariants_.newest_term())
         return {node->log->commit_index(), node->leads_term};
     return {};
   }
