--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -235,7 +235,7 @@
 }
 
 auto control_node::leave(monotonic_time limit) -> task<void> {
-  co_await raft.transfer_leadership(limit);
+  co_await raft.leave(limit);
 }
 
 auto control_node::status() const -> value {
--- a/src/control/control_node.hpp
+++ b/src/control/control_node.hpp
@@ -45,7 +45,7 @@
   auto reload(const settings& settings) -> void {
     settings_ = settings;
   }
-  // Transfers leadership to another control node before this process ends. Gives up at `limit`.
+  // Transfers the leadership and leaves the voters before this process ends. Gives up at `limit`.
   auto leave(monotonic_time limit) -> task<void>;
   control_state state;
 
--- a/src/raft/bootstrap.cpp
+++ b/src/raft/bootstrap.cpp
@@ -75,10 +75,11 @@
   }
 }
 
-// Sends join requests to `contact_address` until this replica is a voter or a request fails with an error other than
-// `catching_up` or `busy`. A retry does not start over: the replica keeps the entries that it received as a learner.
+// Sends join requests to `contact_address` until this replica is a voter, the process shuts down, or a request fails
+// with an error other than `catching_up` or `busy`. A retry does not start over: the replica keeps the entries that it
+// received as a learner.
 auto consensus::join(std::string contact_address) -> task<void> {
-  while (true) {
+  while (!shutting_down_) {
     try {
       auto message = encode(join_request{local_voter_, log_.log_id()});
       co_await peer(contact_address).call(std::move(message), host_.now() + settings_.failure_timeout * join_timeouts);
--- a/src/raft/codec.cpp
+++ b/src/raft/codec.cpp
@@ -22,6 +22,7 @@
                                             operation_name{raft_operation::install_snapshot, "l.snapshot"},
                                             operation_name{raft_operation::timeout_now, "l.run"},
                                             operation_name{raft_operation::join, "l.enter"},
+                                            operation_name{raft_operation::leave, "l.leave"},
                                             operation_name{raft_operation::describe, "l.who"}};
 
 // Reads the fields of one message. Each accessor checks the type and range of the field and throws `errc::malformed`
@@ -325,6 +326,16 @@
   return {{reader.non_empty_string("addr"), reader.non_empty_string("id")}, reader.string_or_empty("realm")};
 }
 
+auto encode(const leave_request& request) -> value {
+  return object{
+      {"op", name_of(raft_operation::leave)}, {"addr", request.leaving.address}, {"id", request.leaving.disk_id}};
+}
+
+auto decode_leave_request(const value& message) -> leave_request {
+  auto reader = message_reader(message, "leave");
+  return {{reader.non_empty_string("addr"), reader.non_empty_string("id")}};
+}
+
 auto encode(const describe_request& request) -> value {
   return object{{"op", name_of(raft_operation::describe)},
                 {"addr", request.requester.address},
--- a/src/raft/codec_test.cpp
+++ b/src/raft/codec_test.cpp
@@ -64,9 +64,11 @@
   CHECK(encode(snapshot_chunk()).at("op") == "l.snapshot");
   CHECK(encode(timeout_now_request()).at("op") == "l.run");
   CHECK(encode(join_request()).at("op") == "l.enter");
+  CHECK(encode(leave_request()).at("op") == "l.leave");
   CHECK(encode(describe_request()).at("op") == "l.who");
-  for (auto operation : {raft_operation::request_vote, raft_operation::append_entries, raft_operation::install_snapshot,
-                         raft_operation::timeout_now, raft_operation::join, raft_operation::describe})
+  for (auto operation :
+       {raft_operation::request_vote, raft_operation::append_entries, raft_operation::install_snapshot,
+        raft_operation::timeout_now, raft_operation::join, raft_operation::leave, raft_operation::describe})
     CHECK(decode_operation(name_of(operation)) == operation);
   expect_rejection("malformed: unknown request l.other", rejection(decode_operation, value("l.other").get_string()));
 }
@@ -110,6 +112,10 @@
   expect_rejection("malformed: join: id is empty",
                    rejection(decode_join_request, value(object{{"addr", "a:1"}, {"id", ""}})));
   expect_rejection("malformed: join: message is not a map", rejection(decode_join_request, value(5)));
+  expect_rejection("malformed: leave: addr is empty",
+                   rejection(decode_leave_request, value(object{{"addr", ""}, {"id", "x"}})));
+  expect_rejection("malformed: leave: id is not a string",
+                   rejection(decode_leave_request, value(object{{"addr", "a:1"}})));
 }
 TEST(raft_codec, each_entry_of_an_append_request_is_validated) {
   auto append = sample_append();
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -179,6 +179,8 @@
       auto request = decode_join_request(message);
       co_return co_await on_join(std::move(request));
     }
+    case raft_operation::leave:
+      co_return co_await on_leave(decode_leave_request(message));
     case raft_operation::describe:
       co_return encode(on_describe(decode_describe_request(message)));
   }
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -54,8 +54,13 @@
   // `errc::no_leader` if this replica is not the leader or `deadline` passes.
   auto read_barrier(monotonic_time deadline) -> task<void>;
 
-  // Called when this process shuts down. If this replica is the leader, asks a follower whose log is complete to take
-  // over. From the first such request on, this leader rejects proposals and reports no quorum contact.
+  // Called when this process shuts down: transfers the leadership and leaves the voters if enough of them remain. The
+  // process cannot tell a restart from its end, and a voter that has ended for good raises the majority that all later
+  // losses must leave. Returns at `deadline` at the latest; until then this replica still votes and acknowledges
+  // entries.
+  auto leave(monotonic_time deadline) -> task<void>;
+  // The first part of leave(): if this replica is the leader, asks a follower whose log is complete to take over. From
+  // the first such request on, this leader rejects proposals and reports no quorum contact.
   auto transfer_leadership(monotonic_time deadline) -> task<void>;
   [[nodiscard]] auto is_leader() const -> bool {
     return role_ == replica_role::leader;
@@ -179,7 +184,13 @@
   [[nodiscard]] auto voters_after_join(const voter& joining) const -> std::vector<voter>;
   auto change_voters(std::vector<voter> new_voters, monotonic_time deadline) -> task<void>;
   auto finish_joint_change() -> void;
+  [[nodiscard]] auto voters_without(const voter& target) const -> std::vector<voter>;
   auto remove_voter(voter target) -> task<void>;
+  auto wait_for_replies(std::vector<voter> list, monotonic_time deadline) -> task<bool>;
+  auto check_voter_may_leave() const -> void;
+  enum class leave_outcome { done, later, no_leader };
+  auto request_removal(monotonic_time deadline) -> task<leave_outcome>;
+  auto on_leave(leave_request request) -> task<value>;
   auto add_learner(const voter& joining) -> void;
   auto remove_unresponsive_learners() -> void;
   auto wait_until_caught_up(voter learner, monotonic_time deadline) -> task<bool>;
--- a/src/raft/election.cpp
+++ b/src/raft/election.cpp
@@ -1,5 +1,6 @@
 // Roles and elections: pre-votes, votes, leader liveness, and leadership transfer (Raft, section 5.2; design 4.1, 4.4).
 #include <algorithm>
+#include <utility>
 
 #include "raft/consensus.hpp"
 #include "runtime/log.hpp"
@@ -146,7 +147,9 @@
   } catch (const request_error&) {
   }
   while (true) {
-    if (log_.failed() && !is_leader())  // without a working disk it cannot vote, start an election or join
+    // Without a working disk this replica cannot vote, start an election or join; while it shuts down it must not.
+    auto only_follows = !is_leader() && (log_.failed() || shutting_down_);
+    if (only_follows)
       co_await sleep_for(host_, settings_.heartbeat_interval);
     else if (!may_vote())
       co_await bootstrap_or_join();
@@ -170,11 +173,12 @@
     co_return;
   if (!leader_address_.empty())
     become_follower(log_.term, "");
-  has_campaigned_ = true;
+  auto first_campaign = !std::exchange(has_campaigned_, true);
   auto won = co_await campaign(election_round::pre_vote);
-  // The other voters may have removed this voter while it was unreachable.
+  // The other voters may have removed this voter while it was unreachable, or because its last process shut down.
   auto leaderless_for = host_.now() - last_leader_contact_;
-  if (!won && !rejoining_ && leaderless_for > settings_.failure_timeout * rejoin_timeouts)
+  auto may_be_removed = first_campaign || leaderless_for > settings_.failure_timeout * rejoin_timeouts;
+  if (!won && !rejoining_ && may_be_removed)
     tasks_.spawn(rejoin());
   if (!won || host_.now() - last_leader_contact_ < election_timeout_)
     co_return;
@@ -267,6 +271,8 @@
 }
 
 auto consensus::on_timeout_now(timeout_now_request request) -> acknowledgement {
+  if (shutting_down_)
+    throw request_error(errc::not_ready, "timeout_now: this replica is shutting down");
   if (request.term == log_.term && role_ == replica_role::follower && may_vote())
     tasks_.spawn(campaign_on_transfer());
   return {};
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -13,6 +13,8 @@
 constexpr auto replacement_timeouts = 2;  // a joining voter may replace a voter that has not replied for this time
 constexpr auto learner_timeouts = 4;      // the leader drops a learner that has not replied for this time
 constexpr auto join_timeouts = 3;         // timeout of a join request that is forwarded to the leader
+constexpr auto leave_timeouts = 2;        // timeout of a leave request
+constexpr auto leaderless_timeouts = 4;   // a voter that shuts down waits this long for a leader that can remove it
 
 // Returns the number of voters that are in exactly one of the two lists.
 auto count_differences(const std::vector<voter>& left, const std::vector<voter>& right) -> std::size_t {
@@ -118,14 +120,19 @@
   tasks_.spawn(sync_own_log());
 }
 
+auto consensus::voters_without(const voter& target) const -> std::vector<voter> {
+  auto remaining = voters();
+  std::erase(remaining, target);
+  return remaining;
+}
+
 // Removes a voter that has been unresponsive for too long. A failure is logged; the leader tries again later.
 auto consensus::remove_voter(voter target) -> task<void> {
   reachridge::log(log_level::warning, settings_.name,
                   "removing voter " + target.address + ": it has not replied for too long");
-  auto new_voters = voters();
-  new_voters.erase(std::remove(new_voters.begin(), new_voters.end(), target), new_voters.end());
+  auto remaining = voters_without(target);
   try {
-    co_await change_voters(std::move(new_voters), host_.now() + settings_.failure_timeout);
+    co_await change_voters(std::move(remaining), host_.now() + settings_.failure_timeout);
   } catch (const request_error& error) {
     reachridge::log(log_level::info, settings_.name,
                     "removal of voter " + target.address + " did not complete: " + error.what());
@@ -247,6 +254,95 @@
   reachridge::log(log_level::info, settings_.name, joining.address + " became a voter");
 }
 
+// Leaves the voters step by step: a leader transfers its leadership first, and the leader of that moment removes this
+// voter. Without a leader nothing can be removed; a voter that is not needed for a majority of the fewest voters waits
+// for one, because its vote may be needed to elect it.
+auto consensus::leave(monotonic_time deadline) -> task<void> {
+  shutting_down_ = true;
+  auto last_reply = host_.now();
+  while (host_.now() < deadline) {
+    if (is_leader()) {
+      co_await transfer_leadership(deadline);
+      continue;
+    }
+    auto outcome = co_await request_removal(deadline);
+    if (outcome == leave_outcome::done)
+      co_return;
+    if (outcome == leave_outcome::later)
+      last_reply = host_.now();
+    auto leaderless_for = host_.now() - last_reply;
+    auto list_can_shrink = voters().size() > min_voters_after_removal;
+    if (outcome == leave_outcome::no_leader &&
+        (!list_can_shrink || leaderless_for > settings_.failure_timeout * leaderless_timeouts))
+      co_return;
+    co_await sleep_for(host_, settings_.heartbeat_interval / 4);
+  }
+}
+
+// Asks the leader to remove this voter. The outcome is `done` if the leader has removed it or will never do so.
+auto consensus::request_removal(monotonic_time deadline) -> task<leave_outcome> {
+  try {
+    auto message = encode(leave_request{local_voter_});
+    co_await call_leader(std::move(message),
+                         std::min(deadline, host_.now() + settings_.failure_timeout * leave_timeouts));
+  } catch (const request_error& error) {
+    if (error.code == errc::busy || error.code == errc::unclear)
+      co_return leave_outcome::later;
+    // A leader of an earlier release does not know the request.
+    if (error.code != errc::too_few_nodes && error.code != errc::malformed)
+      co_return leave_outcome::no_leader;
+  }
+  co_return leave_outcome::done;
+}
+
+// Waits until a majority of `list` has answered a request that was sent after this call. Returns false if `deadline`
+// passes first or this replica loses its leadership.
+auto consensus::wait_for_replies(std::vector<voter> list, monotonic_time deadline) -> task<bool> {
+  auto requested_at = host_.now();
+  auto has_replied = [&](const voter& member) {
+    const auto* progress = progress_of(member);
+    return member == local_voter_ || (progress && progress->last_contact >= requested_at);
+  };
+  replication_needed_.wake();
+  while (static_cast<std::size_t>(std::count_if(list.begin(), list.end(), has_replied)) <= list.size() / 2) {
+    auto in_time = co_await reply_received_.wait(host_, deadline);
+    if (!in_time || !is_leader())
+      co_return false;
+  }
+  co_return true;
+}
+
+// Throws `errc::too_few_nodes` if the list is as short as it may become.
+auto consensus::check_voter_may_leave() const -> void {
+  if (voters().size() <= min_voters_after_removal)
+    throw request_error(errc::too_few_nodes, "the replicated log needs all of its voters");
+}
+
+// Handles the request of a voter that shuts down. Returns after the voter has left the list. Throws `errc::busy` while
+// the other voters alone are no majority of the new list: the voter may only restart, and a list of which a majority is
+// lost can never be changed again. A learner is dropped, so that it does not become a voter after its process has
+// ended.
+auto consensus::on_leave(leave_request request) -> task<value> {
+  if (!is_leader() || transferring_)
+    throw retryable_error(errc::no_leader, "this control node does not lead the replicated log",
+                          execution_outcome::not_executed);
+  learners_.erase(request.leaving);
+  check_no_change_pending();
+  if (!is_voter(request.leaving))
+    co_return encode(acknowledgement{});
+  check_voter_may_leave();
+  auto others = voters_without(request.leaving);
+  auto others_respond = co_await wait_for_replies(std::move(others), host_.now() + settings_.failure_timeout / 2);
+  if (!others_respond)
+    throw retryable_error(errc::busy, "too few of the other voters respond", execution_outcome::not_executed);
+  check_no_change_pending();
+  check_voter_may_leave();
+  auto remaining = voters_without(request.leaving);
+  co_await change_voters(std::move(remaining), host_.now() + settings_.failure_timeout);
+  reachridge::log(log_level::info, settings_.name, request.leaving.address + " shuts down and left the voters");
+  co_return encode(acknowledgement{});
+}
+
 auto consensus::on_describe(const describe_request& request) const -> describe_reply {
   auto empty = log_.term == 0 && log_.last() == 0;
   return {local_voter_.disk_id, log_.initialized, empty, leader_address_, log_.members().contains(request.requester)};
--- a/src/raft/types.hpp
+++ b/src/raft/types.hpp
@@ -13,7 +13,7 @@
 namespace reachridge {
 
 // The requests that one replica sends to another.
-enum class raft_operation { request_vote, append_entries, install_snapshot, timeout_now, join, describe };
+enum class raft_operation { request_vote, append_entries, install_snapshot, timeout_now, join, leave, describe };
 
 // A log entry in an append_request. The log interprets only membership commands; all other commands belong to the state
 // machine.
@@ -89,6 +89,11 @@
   std::string log_id;  // identity of the log on the joining disk; empty: the disk is blank
 };
 
+// Asks the leader to remove a voter whose process shuts down.
+struct leave_request {
+  voter leaving;
+};
+
 // Asks a replica for its view of the replicated log.
 struct describe_request {
   voter requester;  // voter whose membership is queried; may be empty
--- a/tools/simulator/log_model.cpp
+++ b/tools/simulator/log_model.cpp
@@ -23,7 +23,7 @@
 constexpr auto stale_serving_limit = lease / 4 + model_failure_timeout * 3 / 8;
 constexpr auto bootstrap_limit = 3 * second;
 constexpr auto recovery_limit = model_failure_timeout * 20;
-constexpr auto leadership_transfer_limit = model_failure_timeout / 2;
+constexpr auto shutdown_limit = model_failure_timeout / 2;
 constexpr auto small_limits = log_limits{8, 4, 64, 48};
 constexpr auto spare_machines = std::size_t{3};
 constexpr auto fast_sync_cost = 2 * millisecond;
@@ -619,18 +619,17 @@
     if (node.up() && node.process == process && node.host->frozen)
       node.host->freeze(false);
   }
-  // Stops a process in the same way as SIGTERM: transfers the leadership first, then ends the process.
+  // Stops a process in the same way as SIGTERM: transfers the leadership and leaves the voters, then ends the process.
   auto shut_down(replica& node, monotonic_time duration) -> void {
     if (!node.up())
       return;
-    node.tasks->spawn(node.log->transfer_leadership(simulation_.clock + leadership_transfer_limit));
-    simulation_.schedule(simulation_.clock + leadership_transfer_limit,
-                         [this, &node, duration, process = node.process] {
-                           if (has_violation() || node.process != process)
-                             return;
-                           stop(node, "shuts down in order");
-                           start_later(node, duration);
-                         });
+    node.tasks->spawn(node.log->leave(simulation_.clock + shutdown_limit));
+    simulation_.schedule(simulation_.clock + shutdown_limit, [this, &node, duration, process = node.process] {
+      if (has_violation() || node.process != process)
+        return;
+      stop(node, "shuts down in order");
+      start_later(node, duration);
+    });
   }
   auto wipe_disk(replica& node, monotonic_time duration) -> void {
     if (!schedule_.allow_disk_majority_loss && !majority_is_intact_without(&node))
