--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -22,8 +22,6 @@
 
 namespace reachridge {
 
-// The leader removes an unresponsive voter only if at least this many voters remain.
-constexpr auto min_voters_after_removal = std::size_t{3};
 // The limit on the size of one command in bytes: a frame must be able to carry a command by itself.
 constexpr auto max_command_bytes = max_frame_bytes / 2;
 
@@ -184,6 +182,9 @@
   [[nodiscard]] auto voters_after_join(const voter& joining) const -> std::vector<voter>;
   auto change_voters(std::vector<voter> new_voters, monotonic_time deadline) -> task<void>;
   auto finish_joint_change() -> void;
+  // The fewest voters that the log keeps by its own decision: after the disk losses that the settings tolerate, a
+  // majority of them remains.
+  [[nodiscard]] auto min_voters() const -> std::size_t;
   [[nodiscard]] auto voters_without(const voter& target) const -> std::vector<voter>;
   auto remove_voter(voter target) -> task<void>;
   auto wait_for_replies(std::vector<voter> list, monotonic_time deadline) -> task<bool>;
--- a/src/raft/consensus_test.cpp
+++ b/src/raft/consensus_test.cpp
@@ -92,6 +92,38 @@
   STRCMP_EQUAL("queen-2 queen-3 queen-4 ", sorted(voter_names(cluster)).c_str());
   CHECK(!cluster.leader().empty());
 }
+// Guards against a log without a leader for ever (review/3): where two losses are tolerated, the list shrank from five
+// voters to three while a zone was dark, and two lost disks were then a majority.
+TEST(raft_voters, the_list_keeps_a_majority_after_the_tolerated_losses) {
+  constexpr auto zone_outage = 12 * second;
+  auto shape = control_nodes_only(5);
+  shape.settings["copies"] = "3";
+  auto cluster = fleet(13, shape);
+  start_all(cluster);
+  run_for(cluster, 2 * second);
+  LONGS_EQUAL(5, raft_of(cluster, cluster.leader()).voters().size());
+  auto leader = cluster.leader();
+  auto followers = cluster.names("queen");
+  std::erase(followers, leader);
+  for (auto dark : {followers[0], followers[1]})
+    cluster.kill(dark);
+  run_for(cluster, zone_outage);
+  LONGS_EQUAL(5, raft_of(cluster, cluster.leader()).voters().size());
+  for (auto dark : {followers[0], followers[1]})
+    cluster.start(dark);
+  run_for(cluster, 200 * millisecond);
+  for (auto wiped : {leader, followers[2]}) {
+    cluster.kill(wiped);
+    cluster.lose_disk(wiped);
+  }
+  run_for(cluster, 1 * second);
+  for (auto wiped : {leader, followers[2]})
+    cluster.start(wiped);
+  run_for(cluster, 12 * second);
+  CHECK_FALSE(cluster.leader().empty());
+  for (const auto& name : cluster.names("queen"))
+    CHECK(is_voter(cluster, name));
+}
 // All nodes have the same three seeds. The other two nodes join by themselves, and two of the five may then be lost.
 TEST(raft_voters, five_control_nodes_all_become_voters) {
   auto cluster = fleet(9, control_nodes_only(5));
--- a/src/raft/election.cpp
+++ b/src/raft/election.cpp
@@ -108,12 +108,12 @@
     co_return;
   }
   remove_unresponsive_learners();
-  // A voter that is lost for good must not raise the size of the majority forever. The last min_voters_after_removal
-  // voters stay even if they are unresponsive. An even list is shortened soon: it tolerates no more losses than the
-  // list without the unresponsive voter, and with that voter one loss fewer.
+  // A voter that is lost for good must not raise the size of the majority forever. The last min_voters() voters stay
+  // even if they are unresponsive. An even list is shortened soon: it tolerates no more losses than the list without
+  // the unresponsive voter, and with that voter one loss fewer.
   auto patience = voters().size() % 2 == 0 ? even_removal_timeouts : removal_timeouts;
   auto unresponsive = unresponsive_voters(settings_.failure_timeout * patience);
-  auto may_remove = leadership_established() && !change_pending() && voters().size() > min_voters_after_removal;
+  auto may_remove = leadership_established() && !change_pending() && voters().size() > min_voters();
   if (may_remove && !unresponsive.empty())
     tasks_.spawn(remove_voter(unresponsive.front()));
 }
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -120,6 +120,11 @@
   tasks_.spawn(sync_own_log());
 }
 
+auto consensus::min_voters() const -> std::size_t {
+  auto tolerated_losses = static_cast<std::size_t>(settings_.replicas) - 1;
+  return 2 * tolerated_losses + 1;
+}
+
 auto consensus::voters_without(const voter& target) const -> std::vector<voter> {
   auto remaining = voters();
   std::erase(remaining, target);
@@ -271,7 +276,7 @@
     if (outcome == leave_outcome::later)
       last_reply = host_.now();
     auto leaderless_for = host_.now() - last_reply;
-    auto list_can_shrink = voters().size() > min_voters_after_removal;
+    auto list_can_shrink = voters().size() > min_voters();
     if (outcome == leave_outcome::no_leader &&
         (!list_can_shrink || leaderless_for > settings_.failure_timeout * leaderless_timeouts))
       co_return;
@@ -314,7 +319,7 @@
 
 // Throws `errc::too_few_nodes` if the list is as short as it may become.
 auto consensus::check_voter_may_leave() const -> void {
-  if (voters().size() <= min_voters_after_removal)
+  if (voters().size() <= min_voters())
     throw request_error(errc::too_few_nodes, "the replicated log needs all of its voters");
 }
 
