--- a/src/raft/consensus_test.cpp
+++ b/src/raft/consensus_test.cpp
@@ -105,19 +105,19 @@
   auto leader = cluster.leader();
   auto followers = cluster.names("queen");
   std::erase(followers, leader);
-  for (auto dark : {followers[0], followers[1]})
+  for (const auto& dark : {followers[0], followers[1]})
     cluster.kill(dark);
   run_for(cluster, zone_outage);
   LONGS_EQUAL(5, raft_of(cluster, cluster.leader()).voters().size());
-  for (auto dark : {followers[0], followers[1]})
+  for (const auto& dark : {followers[0], followers[1]})
     cluster.start(dark);
   run_for(cluster, 200 * millisecond);
-  for (auto wiped : {leader, followers[2]}) {
+  for (const auto& wiped : {leader, followers[2]}) {
     cluster.kill(wiped);
     cluster.lose_disk(wiped);
   }
   run_for(cluster, 1 * second);
-  for (auto wiped : {leader, followers[2]})
+  for (const auto& wiped : {leader, followers[2]})
     cluster.start(wiped);
   run_for(cluster, 12 * second);
   CHECK_FALSE(cluster.leader().empty());
