Take back "A replica is erased only by an assignment later than its last join"

Cause: after a replica has left the in-sync set, its primary's replication task sees the new epoch and joins the replica once more before it is dropped from the table of replicas. The replica then counts as joined at the epoch of the row that does not name it, and was never erased. Its load counts, so placement stopped moving partitions to new machines.

--- a/src/storage/partition.cpp
+++ b/src/storage/partition.cpp
@@ -49,7 +49,6 @@
   if (auto state = log_.load_snapshot())
     state_ = partition_state::restore(*state);
   log_.load_entries(host_.now());
-  log_.load_joined_epoch();
   applied_index_ = log_.base_index();
   if (last_index() > 0)
     log_info("loaded entries " + std::to_string(log_.base_index() + 1) + " to " + std::to_string(last_index()));
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -34,12 +34,8 @@
   return std::max({last_contact_, created_at_, became_backup_at_});
 }
 
-// The known assignment may be older than a committed one that adds this replica to the in-sync set: the control nodes
-// may not have passed that one on. A primary adds a replica only at an epoch at which the replica has answered its join
-// request, so only an assignment of a later epoch without this replica proves that it is not needed.
 auto partition::is_obsolete() const -> bool {
-  auto known_epoch_is_later = assignment_.epoch > std::max(followed_.epoch, log_.joined_epoch());
-  auto is_assigned_elsewhere = known_epoch_is_later && !assignment_.has_member(own_member());
+  auto is_assigned_elsewhere = assignment_.epoch > 0 && !assignment_.has_member(own_member());
   auto is_unused = role_ != replica_role::primary && running_calls_ == 0;
   return is_assigned_elsewhere && is_unused &&
          host_.now() - last_primary_contact() > context_.settings.failure_timeout * obsolete_after_timeouts;
@@ -76,7 +72,6 @@
   if (role_ != replica_role::backup)
     became_backup_at_ = host_.now();
   role_ = replica_role::backup;
-  log_.store_joined_epoch(request.epoch);
   auto sync_start = log_.begin_sync();
   co_await disk_.sync();
   log_.finish_sync(sync_start);  // entries appended during the sync are not synced yet
@@ -112,9 +107,7 @@
 }
 
 auto partition::install_state(const partition_snapshot& snapshot) -> void {
-  auto joined_epoch = log_.joined_epoch();
   wipe();
-  log_.store_joined_epoch(joined_epoch);
   state_ = partition_state::restore(snapshot.state);
   applied_index_ = snapshot.index;
   log_.restart_from(snapshot);
--- a/src/storage/partition_log.cpp
+++ b/src/storage/partition_log.cpp
@@ -30,10 +30,6 @@
 partition_log::partition_log(store& disk, std::string partition_id)
     : disk_(disk), partition_id_(std::move(partition_id)) {}
 
-auto partition_log::joined_epoch_key() const -> std::string {
-  return "C/" + partition_id_ + "/j";
-}
-
 auto partition_log::snapshot_key() const -> std::string {
   return "C/" + partition_id_ + "/s";
 }
@@ -61,18 +57,6 @@
   return std::move(snapshot.state);
 }
 
-auto partition_log::load_joined_epoch() -> void {
-  if (auto record = disk_.get(joined_epoch_key()))
-    joined_epoch_ = get_int(decode_with_checksum(*record), "epoch");
-}
-
-auto partition_log::store_joined_epoch(partition_epoch epoch) -> void {
-  if (epoch <= joined_epoch_)
-    return;
-  joined_epoch_ = epoch;
-  disk_.put(joined_epoch_key(), encode_with_checksum(object{{"epoch", epoch}}));
-}
-
 auto partition_log::load_entries(monotonic_time now) -> void {
   trimmed_index_ = base_index_;
   auto expected = base_index_;
@@ -162,7 +146,6 @@
   entries_.clear();
   base_index_ = trimmed_index_ = synced_index_ = 0;
   base_epoch_ = 0;
-  joined_epoch_ = 0;
 }
 
 auto partition_log::restart_from(const partition_snapshot& snapshot) -> void {
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -49,15 +49,6 @@
   [[nodiscard]] auto load_snapshot() -> std::optional<value>;
   auto load_entries(monotonic_time now) -> void;
 
-  auto load_joined_epoch() -> void;
-
-  // The highest epoch at which this replica answered a join request since its last wipe. It is durable after the next
-  // sync of the disk.
-  [[nodiscard]] auto joined_epoch() const -> partition_epoch {
-    return joined_epoch_;
-  }
-  auto store_joined_epoch(partition_epoch epoch) -> void;
-
   // The index before the oldest entry in memory; 0 if the partition has no snapshot.
   [[nodiscard]] auto base_index() const -> entry_index {
     return base_index_;
@@ -107,7 +98,6 @@
   auto mark_synced(entry_index index) -> void;
 
  private:
-  [[nodiscard]] auto joined_epoch_key() const -> std::string;
   [[nodiscard]] auto snapshot_key() const -> std::string;
   [[nodiscard]] auto entry_key_prefix() const -> std::string;
   [[nodiscard]] auto entry_key(entry_index index) const -> std::string;
@@ -119,7 +109,6 @@
   partition_epoch base_epoch_ = 0;
   entry_index trimmed_index_ = 0;  // the entries up to this index are erased from the disk
   entry_index synced_index_ = 0;
-  partition_epoch joined_epoch_ = 0;
   std::int64_t wipe_count_ = 0;  // a sync that began before a wipe does not cover entries appended after the wipe
   bool sync_is_urgent_ = false;
 };
--- a/src/storage/partition_replicas.cpp
+++ b/src/storage/partition_replicas.cpp
@@ -253,11 +253,8 @@
 auto partition::complete_join() -> task<void> {
   auto member = join_.member;
   auto& replica = replicas_[member];
-  // The replica erases its data if it learns of an assignment without it that is later than its last join
-  // (is_obsolete).
-  auto has_joined_at_epoch = is_responsive(member) && replica.join_epoch == assignment_.epoch;
-  auto is_nearly_caught_up = has_joined_at_epoch && std::min(replica.acknowledged_index, replica.applied_index) >=
-                                                        last_index() - max_entries_behind;
+  auto is_nearly_caught_up = is_responsive(member) && std::min(replica.acknowledged_index, replica.applied_index) >=
+                                                          last_index() - max_entries_behind;
   if (is_nearly_caught_up)
     join_.required_acks.insert(member);
   if (is_nearly_caught_up && replica.acknowledged_index < released_index_)
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -105,9 +105,8 @@
 // false if the run has ended.
 auto partition::join_replica(const replication_run& run, peer_connection& connection) -> task<bool> {
   auto join = ++last_join_id_;
-  auto epoch = assignment_.epoch;
   auto request = encode(replica_join_request{
-      .partition = id, .epoch = epoch, .primary = own_member(), .join = join, .last_index = last_index()});
+      .partition = id, .epoch = assignment_.epoch, .primary = own_member(), .join = join, .last_index = last_index()});
   auto answer = co_await connection.call(std::move(request), host_.now() + context_.settings.failure_timeout);
   if (!is_current_run(run))
     co_return false;
@@ -124,7 +123,6 @@
     log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index));
   }
   begin_streaming(replicas_[run.member], join_reply);
-  replicas_[run.member].join_epoch = epoch;
   co_return true;
 }
 
--- a/src/storage/replica_progress.hpp
+++ b/src/storage/replica_progress.hpp
@@ -19,7 +19,6 @@
   monotonic_time last_contact = 0;
   monotonic_time replicating_since = 0;
   bool joined = false;
-  partition_epoch join_epoch = 0;       // at which the replica answered the last join request
   bool rejected = false;                // the replica rejected entries and has to join again
   bool process_gone = false;            // the replica's process is known to have terminated
   std::int64_t copies = 0;              // the number of complete state copies sent to the replica
