--- a/src/storage/partition.cpp
+++ b/src/storage/partition.cpp
@@ -13,6 +13,7 @@
       host_(context_.host),
       disk_(*host_.disk()),
       log_(disk_, id),
+      record_(disk_, id),
       tasks_(host_) {
   tasks_.on_error = [this](std::exception_ptr error) {
     try {
@@ -46,6 +47,7 @@
 }
 
 auto partition::load() -> void {
+  record_.load();
   if (auto state = log_.load_snapshot())
     state_ = partition_state::restore(*state);
   log_.load_entries(host_.now());
--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -18,6 +18,7 @@
 #include "storage/partition_log.hpp"
 #include "storage/partition_state.hpp"
 #include "storage/replica_progress.hpp"
+#include "storage/replica_record.hpp"
 #include "storage/replication_messages.hpp"
 
 namespace reachridge {
@@ -86,8 +87,8 @@
   [[nodiscard]] auto load_units() const -> std::int64_t {
     return role_ == replica_role::primary ? 2 : role_ == replica_role::backup ? 1 : 0;
   }
-  // Whether the partition has been assigned to other nodes for several failure timeouts and no join or copy is running.
-  // The storage node may then wipe and delete this replica.
+  // Whether this replica may be wiped and deleted: no committed assignment names it, none that can still be committed
+  // does, and it has not been used for several failure timeouts.
   [[nodiscard]] auto is_obsolete() const -> bool;
   // Erases the log and the state, on disk and in memory.
   auto wipe() -> void;
@@ -199,11 +200,15 @@
   auto start_replication(const std::string& member) -> void;
   auto replicate(replication_run run) -> task<void>;
   [[nodiscard]] auto is_current_run(const replication_run& run) const -> bool;
+  // Whether the primary replicates to this member: it is in sync or is joining the in-sync set.
+  [[nodiscard]] auto is_replication_target(const std::string& member) const -> bool;
   // replicate_over, join_replica and stream_entries return false if the run has ended. Otherwise join_replica returns
   // true, and the other two return whether the stream ended only because the epoch changed: the replica then rejoins
   // immediately.
   auto replicate_over(const replication_run& run, peer_connection& connection) -> task<bool>;
   auto join_replica(const replication_run& run, peer_connection& connection) -> task<bool>;
+  auto request_join(const replication_run& run, peer_connection& connection, replica_join_request request)
+      -> task<replica_join_reply>;
   [[nodiscard]] auto can_continue_own_log(const replica_join_reply& reply) const -> bool;
   auto copy_state(const replication_run& run, peer_connection& connection, join_id join)
       -> task<std::optional<entry_index>>;
@@ -244,6 +249,8 @@
   auto propose_in_sync_set(const std::string& member) -> task<bool>;
   [[nodiscard]] auto join_timed_out(const replica_progress& replica) const -> bool;
   auto abandon_join() -> task<void>;
+  auto forget_join() -> void;
+  auto raise_epoch_after_abandoned_join() -> task<void>;
   auto hand_over() -> task<void>;
   [[nodiscard]] auto choose_successor(const placement_request& request) const -> std::string;
   auto wait_until_caught_up(const std::string& successor) -> task<void>;
@@ -287,6 +294,7 @@
 
   // The replica. state_ is the result of the entries up to applied_index_, and applied_index_ <= log_.last_index().
   partition_log log_;
+  replica_record record_;
   partition_state state_;
   entry_index applied_index_ = 0;
   int running_calls_ = 0;  // join and copy requests in progress
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -34,8 +34,13 @@
   return std::max({last_contact_, created_at_, became_backup_at_});
 }
 
+// A primary proposes to add a replica only by compare-and-set from an epoch at which the replica has answered its join
+// request. If a later assignment does not name the replica, each such proposal has been committed before or is
+// rejected. An assignment that is not later proves nothing, however long it has been known: the node may be cut off
+// from newer ones.
 auto partition::is_obsolete() const -> bool {
-  auto is_assigned_elsewhere = assignment_.epoch > 0 && !assignment_.has_member(own_member());
+  auto known_epoch_is_later = assignment_.epoch > std::max(followed_.epoch, record_.joined_epoch());
+  auto is_assigned_elsewhere = known_epoch_is_later && !assignment_.has_member(own_member());
   auto is_unused = role_ != replica_role::primary && running_calls_ == 0;
   return is_assigned_elsewhere && is_unused &&
          host_.now() - last_primary_contact() > context_.settings.failure_timeout * obsolete_after_timeouts;
@@ -72,6 +77,7 @@
   if (role_ != replica_role::backup)
     became_backup_at_ = host_.now();
   role_ = replica_role::backup;
+  record_.store_joined_epoch(request.epoch);
   auto sync_start = log_.begin_sync();
   co_await disk_.sync();
   log_.finish_sync(sync_start);  // entries appended during the sync are not synced yet
--- a/src/storage/partition_replicas.cpp
+++ b/src/storage/partition_replicas.cpp
@@ -189,6 +189,9 @@
 // Chooses a new backup if replicas are missing, or follows a placement request, and continues a join in progress. A
 // join that is no longer needed is abandoned.
 auto partition::restore_replicas() -> task<void> {
+  co_await raise_epoch_after_abandoned_join();
+  if (role_ != replica_role::primary)
+    co_return;
   auto lost = lost_backups();
   auto healthy_backups = assignment_.backups();
   std::erase_if(healthy_backups, [&](const auto& backup) {
@@ -205,10 +208,8 @@
   if (join_.member.empty() && !healthy_backups.empty() && !request.backup.empty())
     begin_join(request.backup);
   auto is_join_unneeded = !lacks_replicas && join_.member != request.backup;
-  if (is_join_unneeded && !join_.member.empty() && join_.unresolved_epoch != assignment_.epoch) {
-    replicas_.erase(join_.member);
-    join_.member.clear();
-  }
+  if (is_join_unneeded && !join_.member.empty() && join_.unresolved_epoch != assignment_.epoch)
+    forget_join();
   if (!join_.member.empty())
     co_await complete_join();
 }
@@ -249,12 +250,14 @@
 // Adds the joining replica to the in-sync set as soon as it has every entry with a released output, because the replica
 // may have to claim the partition immediately afterwards as the only survivor. After the replica has nearly caught up,
 // outputs also wait for its acknowledgement; otherwise the index that it has to reach would keep advancing
-// (design 6.6).
+// (design 6.6). The replica must have joined at the epoch that the proposal replaces, because it erases its data by a
+// later assignment that does not name it (is_obsolete).
 auto partition::complete_join() -> task<void> {
   auto member = join_.member;
   auto& replica = replicas_[member];
-  auto is_nearly_caught_up = is_responsive(member) && std::min(replica.acknowledged_index, replica.applied_index) >=
-                                                          last_index() - max_entries_behind;
+  auto has_joined_at_epoch = is_responsive(member) && replica.joined_epoch == assignment_.epoch;
+  auto is_nearly_caught_up = has_joined_at_epoch && std::min(replica.acknowledged_index, replica.applied_index) >=
+                                                        last_index() - max_entries_behind;
   if (is_nearly_caught_up)
     join_.required_acks.insert(member);
   if (is_nearly_caught_up && replica.acknowledged_index < released_index_)
@@ -313,10 +316,24 @@
     join_.required_acks.clear();
   }
   join_.excluded_members.insert(join_.member);
-  replicas_.erase(join_.member);
+  forget_join();
+}
+
+auto partition::forget_join() -> void {
+  if (auto it = replicas_.find(join_.member); it != replicas_.end()) {
+    join_.abandoned_epoch = std::max(join_.abandoned_epoch, it->second.requested_epoch);
+    replicas_.erase(it);
+  }
   join_.member.clear();
 }
 
+// A member of an abandoned join may have joined at the current epoch. It erases its replica only by an assignment of a
+// later epoch (is_obsolete), so the primary commits one.
+auto partition::raise_epoch_after_abandoned_join() -> task<void> {
+  if (join_.member.empty() && join_.abandoned_epoch == assignment_.epoch)
+    co_await propose(assignment_, "raises the epoch after an abandoned join");
+}
+
 // Hands over the leadership to a backup with the complete log if this node is leaving or the control nodes request a
 // handover.
 auto partition::hand_over() -> task<void> {
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -61,7 +61,14 @@
   if (role_ != replica_role::primary || leadership_number_ != run.leadership)
     return false;
   auto it = replicas_.find(run.member);
-  return it != replicas_.end() && it->second.replication_number == run.number;
+  auto is_latest = it != replicas_.end() && it->second.replication_number == run.number;
+  return is_latest && is_replication_target(run.member);
+}
+
+// A replica that has left the in-sync set must not be joined again: it would count as joined at an epoch that does not
+// name it, and would keep its data until the next change of the assignment (is_obsolete).
+auto partition::is_replication_target(const std::string& member) const -> bool {
+  return assignment_.is_in_sync(member) || member == join_.member;
 }
 
 // Replicates to one replica while this node is the primary: joins the replica, streams entries, and repeats both after
@@ -105,12 +112,12 @@
 // false if the run has ended.
 auto partition::join_replica(const replication_run& run, peer_connection& connection) -> task<bool> {
   auto join = ++last_join_id_;
-  auto request = encode(replica_join_request{
-      .partition = id, .epoch = assignment_.epoch, .primary = own_member(), .join = join, .last_index = last_index()});
-  auto answer = co_await connection.call(std::move(request), host_.now() + context_.settings.failure_timeout);
+  auto request = replica_join_request{
+      .partition = id, .epoch = assignment_.epoch, .primary = own_member(), .join = join, .last_index = last_index()};
+  auto epoch = request.epoch;
+  auto join_reply = co_await request_join(run, connection, std::move(request));
   if (!is_current_run(run))
     co_return false;
-  auto join_reply = decode_replica_join_reply(answer);
   if (can_continue_own_log(join_reply)) {
     log_info(run.member + " joins with its own log up to entry " + std::to_string(join_reply.last_index) +
              ", synced up to entry " + std::to_string(join_reply.synced_index));
@@ -123,9 +130,25 @@
     log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index));
   }
   begin_streaming(replicas_[run.member], join_reply);
+  replicas_[run.member].joined_epoch = epoch;
   co_return true;
 }
 
+// Sends a join request and records its epoch, unless the request certainly did not reach the replica.
+auto partition::request_join(const replication_run& run, peer_connection& connection, replica_join_request request)
+    -> task<replica_join_reply> {
+  auto earlier_epoch = std::exchange(replicas_[run.member].requested_epoch, request.epoch);
+  try {
+    co_return decode_replica_join_reply(
+        co_await connection.call(encode(request), host_.now() + context_.settings.failure_timeout));
+  } catch (const request_error& error) {
+    auto is_unsent = error.code == errc::unreachable && error.outcome == execution_outcome::not_executed;
+    if (is_unsent && is_current_run(run))
+      replicas_[run.member].requested_epoch = earlier_epoch;
+    throw;
+  }
+}
+
 // Whether the replica can keep its log: the log is a prefix of this log and lacks few enough entries.
 auto partition::can_continue_own_log(const replica_join_reply& reply) const -> bool {
   // A replica with more entries to replay catches up faster with a copy of the state.
--- a/src/storage/replica_progress.hpp
+++ b/src/storage/replica_progress.hpp
@@ -19,10 +19,12 @@
   monotonic_time last_contact = 0;
   monotonic_time replicating_since = 0;
   bool joined = false;
-  bool rejected = false;                // the replica rejected entries and has to join again
-  bool process_gone = false;            // the replica's process is known to have terminated
-  std::int64_t copies = 0;              // the number of complete state copies sent to the replica
-  std::int64_t replication_number = 0;  // of the current replication task; a task with a lower number ends
+  partition_epoch requested_epoch = -1;  // of the last join request that may have reached the replica
+  partition_epoch joined_epoch = -1;     // of the last join request that the replica answered
+  bool rejected = false;                 // the replica rejected entries and has to join again
+  bool process_gone = false;             // the replica's process is known to have terminated
+  std::int64_t copies = 0;               // the number of complete state copies sent to the replica
+  std::int64_t replication_number = 0;   // of the current replication task; a task with a lower number ends
 };
 
 // The progress of a replica that joins the in-sync set (design 6.6).
@@ -33,6 +35,7 @@
   // listed from the time it has nearly caught up until the result of the proposal to add it is known.
   std::set<std::string> required_acks;
   partition_epoch unresolved_epoch = -1;   // a proposal based on this epoch got no answer and may still be committed
+  partition_epoch abandoned_epoch = -1;    // the highest epoch at which a member of an abandoned join may have joined
   std::set<std::string> excluded_members;  // members that are not chosen as a new backup
   monotonic_time next_choice_at = 0;       // when to choose again after a failed choice, if a healthy backup remains
 };
--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -70,6 +70,36 @@
   return {};
 }
 
+// Lets a primary of a later epoch, which the control nodes do not know, join the replica on this node and copy its
+// state to it: five entries.
+auto join_foreign_primary(fleet& cluster, const std::string& node) -> void {
+  auto address = cluster.processes.at(node)->settings.address;
+  cluster.operator_tasks->spawn([](fleet& fleet_, std::string node_address) -> task<void> {
+    auto connection =
+        peer_connection(*fleet_.outside, peer_connection::options{"old", node_address, 100 * millisecond, second});
+    while (!connection.is_up())
+      co_await sleep_for(*fleet_.outside, millisecond);
+    auto limit = fleet_.outside->now() + second;
+    co_await connection.call(join_message(1), limit);
+    co_await connection.call(snapshot_message(1, 5), limit);
+  }(cluster, address));
+  cluster.network.run(cluster.network.clock + 500 * millisecond);
+}
+
+// Returns the replicas that storage nodes hold although the assignments that they know do not name them.
+auto unassigned_replicas(const fleet& cluster) -> std::string {
+  auto found = std::string();
+  for (const auto& [name, process] : cluster.processes) {
+    if (!process->storage)
+      continue;
+    const auto& session = process->storage->session;
+    for (const auto& [id, assignment] : session.view.partitions)
+      if (process->storage->held_partition(id) != nullptr && !assignment.has_member(session.self.member()))
+        found += name + " holds " + id + "; ";
+  }
+  return found;
+}
+
 auto zones_of(const fleet& cluster, const std::vector<std::string>& nodes) -> std::set<std::string> {
   auto zones = std::set<std::string>();
   for (const auto& name : nodes)
@@ -137,6 +167,55 @@
   LONGS_EQUAL(7, get_int(replica->status(), "solid"));
 }
 
+// Guards against LOST (review/2): a storage node erased an in-sync replica because the assignment that it knew did not
+// name it. That assignment was older than its last join. The node keeps the replica, also over a restart.
+TEST(partition_copies, a_replica_is_not_erased_by_an_assignment_older_than_its_last_join) {
+  constexpr auto obsolete_time = 8 * second;  // more than five failure timeouts
+  auto cluster = fleet(82, shape_without_clients());
+  CHECK(cluster.begin());
+  auto node = node_without_replica(cluster);
+  join_foreign_primary(cluster, node);
+  for (auto restarted : {false, true}) {
+    if (restarted) {
+      // The other storage nodes cannot reach the node, so that none of them replaces the replica.
+      for (const auto& other : cluster.names("comb"))
+        if (other != node)
+          cluster.network.cut(cluster.processes.at(other)->machine->name, cluster.processes.at(node)->machine->name);
+      cluster.kill(node);
+      cluster.start(node);
+    }
+    cluster.network.run(cluster.network.clock + obsolete_time);
+    const auto& view = cluster.processes.at(node)->storage->session.view;
+    CHECK(view.partitions.contains(partition_id));
+    CHECK(view.partitions.at(partition_id).epoch < foreign_epoch);
+    const auto* replica = cluster.processes.at(node)->storage->held_partition(partition_id);
+    CHECK(replica != nullptr);
+    LONGS_EQUAL(5, get_int(replica->status(), "last"));
+  }
+}
+
+// Guards against replicas that are never erased: a primary joined a replica once more that had just left the in-sync
+// set, or abandoned a join and left the joining replica at the current epoch.
+TEST(partition_copies, replicas_of_partitions_that_moved_away_are_erased) {
+  constexpr auto load_time = 40 * second;
+  constexpr auto quiet_time = 20 * second;  // for the last move, and five failure timeouts after it
+  for (auto seed = 1; seed <= 6; ++seed) {
+    auto shape = fleet_shape();
+    shape.zones = 4;
+    shape.storage_nodes = 4;
+    shape.partitions = 6;
+    auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
+    CHECK(cluster.begin());
+    for (auto added = 0; added < 2; ++added) {
+      cluster.network.run(cluster.network.clock + second);
+      cluster.start(cluster.add_storage_node());
+    }
+    cluster.network.run(cluster.network.clock + load_time);
+    cluster.finish(quiet_time);
+    STRCMP_EQUAL("", unassigned_replicas(cluster).c_str());
+  }
+}
+
 TEST(partition_copies, three_replicas_are_in_three_zones_from_the_start) {
   auto cluster = fleet(82, shape_with_three_replicas());
   CHECK(cluster.begin());
