The result of a join concerns the epoch that was proposed from

What callers saw: one partition answered nothing any more, while its primary and its backup were in touch.

Cause: a proposal to add a joining replica without an answer was noted with the epoch known when the error arrived. If the view had brought the committed proposal before, that was the new epoch, so outputs went on waiting for the member of that join; when it left the in-sync set nobody acknowledged for it.

Change: the epoch is taken before the proposal is sent.

--- a/src/storage/partition_replicas.cpp
+++ b/src/storage/partition_replicas.cpp
@@ -291,12 +291,14 @@
 auto partition::propose_in_sync_set(const std::string& member) -> task<bool> {
   auto next = assignment_;
   next.in_sync_replicas = in_sync_set_with(member, current_placement_request());
+  // The committed proposal may be found before the error arrives. The error then concerns an epoch that has passed.
+  auto proposed_epoch = assignment_.epoch;
   auto is_accepted = false;
   try {
     is_accepted = co_await propose(next, "redundancy restored");
   } catch (const request_error& error) {
     if (error.outcome != execution_outcome::not_executed)
-      join_.unresolved_epoch = assignment_.epoch;
+      join_.unresolved_epoch = proposed_epoch;
     else if (join_.unresolved_epoch != assignment_.epoch)
       join_.required_acks.clear();
     throw;
