--- a/src/storage/partition.cpp
+++ b/src/storage/partition.cpp
@@ -48,6 +48,12 @@
 
 auto partition::load() -> void {
   record_.load();
+  if (record_.erased_epoch()) {
+    log_info("has no log: it was erased and nothing has replaced it");
+    log_.wipe();  // a crash may have interrupted the erasure
+    is_damaged_ = true;
+    return;
+  }
   if (auto state = log_.load_snapshot())
     state_ = partition_state::restore(*state);
   log_.load_entries(host_.now());
@@ -57,6 +63,8 @@
 }
 
 auto partition::wipe() -> void {
+  auto newest_epoch = std::max({assignment_.epoch, followed_.epoch, record_.joined_epoch()});
+  record_.mark_erased(assignment_.epoch > 0 ? newest_epoch : unknown_epoch);
   log_.wipe();
   state_ = partition_state();
   applied_index_ = 0;
--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -265,6 +265,8 @@
   auto run_role_checks() -> task<void>;
   auto wait_for_next_check() -> task<void>;
   auto check_role(monotonic_time& claim_delay) -> task<void>;
+  [[nodiscard]] auto holds_acknowledged_entries() const -> bool;
+  auto report_missing_log() -> void;
   [[nodiscard]] auto is_primary_silent(monotonic_time claim_delay) const -> bool;
   auto propose(partition_assignment next, std::string reason) -> task<bool>;
   auto claim(std::string reason) -> task<void>;
@@ -289,8 +291,9 @@
   partition_assignment assignment_;  // the newest assignment that is known to be committed
   std::int64_t leadership_number_ = 0;
   bool is_handing_over_ = false;
-  bool check_immediately_ = true;  // the next role check does not wait for the heartbeat interval
-  bool is_damaged_ = false;        // this replica never claims or serves until it has a new copy (design 6.8)
+  bool check_immediately_ = true;         // the next role check does not wait for the heartbeat interval
+  bool is_damaged_ = false;               // this replica never claims or serves until it has a new copy (design 6.8)
+  partition_epoch unclaimed_epoch_ = -1;  // the epoch at which a missing log was last reported
 
   // The replica. state_ is the result of the entries up to applied_index_, and applied_index_ <= log_.last_index().
   partition_log log_;
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -117,6 +117,7 @@
   state_ = partition_state::restore(snapshot.state);
   applied_index_ = snapshot.index;
   log_.restart_from(snapshot);
+  record_.mark_replaced();
 }
 
 auto partition::on_append(const connection_ptr& from, append_message message) -> void {
--- a/src/storage/partition_leadership.cpp
+++ b/src/storage/partition_leadership.cpp
@@ -86,9 +86,30 @@
   applied_index_ = first;
   state_.recreated_at_position = first;
   log_.restart_from({.index = first, .epoch = assignment_.recreated_epoch, .state = state_.take_snapshot()});
+  record_.mark_replaced();
+  is_damaged_ = false;
   log_.mark_synced(first);
 }
 
+// Whether this replica holds everything that it acknowledged as a member of the assignment. A replica whose log is
+// damaged or was erased does not, unless the partition was recreated empty after the log was erased.
+auto partition::holds_acknowledged_entries() const -> bool {
+  if (!is_damaged_)
+    return true;
+  auto erased_epoch = record_.erased_epoch();
+  return erased_epoch && assignment_.recreated_epoch > *erased_epoch && !disk_.failed();
+}
+
+// Logs once per epoch that a member of the assignment does not claim the partition.
+auto partition::report_missing_log() -> void {
+  if (!assignment_.has_member(own_member()) || assignment_.epoch == unclaimed_epoch_)
+    return;
+  unclaimed_epoch_ = assignment_.epoch;
+  reachridge::log(log_level::error, context_.settings.name,
+                  id + ": does not claim epoch " + std::to_string(assignment_.epoch + 1) +
+                      ": the log of this in-sync replica is damaged or was erased, and no copy has replaced it");
+}
+
 auto partition::begin_leadership() -> void {
   ++leadership_number_;
   role_ = replica_role::primary;
@@ -266,8 +287,12 @@
     co_await maintain_replicas();
     co_return;
   }
-  if (is_damaged_ || assignment_.epoch == 0 || context_.is_leaving())
+  if (assignment_.epoch == 0 || context_.is_leaving())
+    co_return;
+  if (!holds_acknowledged_entries()) {
+    report_missing_log();
     co_return;
+  }
   if (assignment_.primary == own_member()) {
     // An assigned primary that is not live claims a new epoch, also after a restart: it may have lost entries that it
     // had not acknowledged.
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -122,6 +122,8 @@
     log_info(run.member + " joins with its own log up to entry " + std::to_string(join_reply.last_index) +
              ", synced up to entry " + std::to_string(join_reply.synced_index));
   } else {
+    if (join_reply.damaged)
+      replicas_[run.member].acknowledged_index = -1;  // it was acknowledged by a log that the replica no longer has
     auto copied_index = co_await copy_state(run, connection, join);
     if (!copied_index)
       co_return false;
--- a/src/storage/replica_record.cpp
+++ b/src/storage/replica_record.cpp
@@ -1,6 +1,9 @@
-// The record has the key "M/ID" and carries a checksum.
+// The record has the key "M/ID" and carries a checksum. Its field "erased" is absent while the replica has a log.
 #include "storage/replica_record.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace reachridge {
 namespace {
 
@@ -18,6 +21,8 @@
   if (get_int(fields, "format") != record_format)
     throw decode_error("replica record: format is not 1");
   joined_epoch_ = get_int(fields, "joined");
+  if (fields.as_object().contains("erased"))
+    erased_epoch_ = get_int(fields, "erased");
 }
 
 auto replica_record::store_joined_epoch(partition_epoch epoch) -> void {
@@ -27,8 +32,23 @@
   store_fields();
 }
 
+auto replica_record::mark_erased(partition_epoch epoch) -> void {
+  erased_epoch_ = std::max(epoch, erased_epoch_.value_or(0));
+  store_fields();
+}
+
+auto replica_record::mark_replaced() -> void {
+  if (!erased_epoch_)
+    return;
+  erased_epoch_.reset();
+  store_fields();
+}
+
 auto replica_record::store_fields() -> void {
-  disk_.put(key_, encode_with_checksum(object{{"format", record_format}, {"joined", joined_epoch_}}));
+  auto fields = object{{"format", record_format}, {"joined", joined_epoch_}};
+  if (erased_epoch_)
+    fields["erased"] = *erased_epoch_;
+  disk_.put(key_, encode_with_checksum(std::move(fields)));
 }
 
 }  // namespace reachridge
--- a/src/storage/replica_record.hpp
+++ b/src/storage/replica_record.hpp
@@ -1,5 +1,7 @@
 // What a replica has to remember apart from its log, so that no replacement of the log makes it forget (design 6.6).
 #pragma once
+#include <limits>
+#include <optional>
 #include <string>
 
 #include "runtime/host.hpp"
@@ -7,6 +9,9 @@
 
 namespace reachridge {
 
+// Stands for the epoch of an erased log if that epoch is not known: higher than every epoch.
+constexpr auto unknown_epoch = std::numeric_limits<partition_epoch>::max();
+
 // The record of one replica on the storage node's disk. It is owned by one partition. A change is queued on the disk
 // immediately and durable after the next sync. The record outlives the log: it stays when the replica is erased.
 class replica_record {
@@ -24,12 +29,24 @@
   // Stores the epoch of a join request if it is higher than the stored one.
   auto store_joined_epoch(partition_epoch epoch) -> void;
 
+  // The epoch up to which the erased log of this replica may have counted, if the log was erased and nothing has
+  // replaced it since. Such a replica holds nothing of what the member acknowledged, so it must not claim.
+  [[nodiscard]] auto erased_epoch() const -> std::optional<partition_epoch> {
+    return erased_epoch_;
+  }
+  // Must be called before the first record of the log is erased: a crash in the middle of the erasure then leaves a
+  // replica that knows that its log is not complete.
+  auto mark_erased(partition_epoch epoch) -> void;
+  // Must be called after the state that replaces the log was written.
+  auto mark_replaced() -> void;
+
  private:
   auto store_fields() -> void;
 
   store& disk_;
   std::string key_;
   partition_epoch joined_epoch_ = 0;
+  std::optional<partition_epoch> erased_epoch_;
 };
 
 }  // namespace reachridge
--- a/src/storage/replica_record_test.cpp
+++ b/src/storage/replica_record_test.cpp
@@ -42,6 +42,26 @@
   LONGS_EQUAL(7, fixture.load_record().joined_epoch());
 }
 
+TEST(replica_records, an_erased_log_is_remembered_until_it_is_replaced) {
+  auto fixture = disk_fixture();
+  auto record = fixture.load_record();
+  record.store_joined_epoch(7);
+  record.mark_erased(9);
+  record.mark_erased(8);  // the erasure was interrupted and is repeated at an epoch that is not newer
+  auto loaded = fixture.load_record();
+  CHECK(loaded.erased_epoch() == 9);
+  LONGS_EQUAL(7, loaded.joined_epoch());
+  loaded.mark_replaced();
+  CHECK_FALSE(fixture.load_record().erased_epoch().has_value());
+  LONGS_EQUAL(7, fixture.load_record().joined_epoch());
+}
+
+TEST(replica_records, an_erasure_at_an_unknown_epoch_is_later_than_every_epoch) {
+  auto fixture = disk_fixture();
+  fixture.load_record().mark_erased(unknown_epoch);
+  CHECK(fixture.load_record().erased_epoch() == unknown_epoch);
+}
+
 TEST(replica_records, an_altered_record_is_refused) {
   auto fixture = disk_fixture();
   fixture.load_record().store_joined_epoch(7);
--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -86,6 +86,14 @@
   cluster.network.run(cluster.network.clock + 500 * millisecond);
 }
 
+// Alters the stored records of the partition on the disk of this node.
+auto alter_records(fleet& cluster, const std::string& node) -> void {
+  const auto prefix = "C/" + partition_id + "/";
+  auto& disk = cluster.processes.at(node)->machine->durable;
+  for (auto row = disk.lower_bound(prefix); row != disk.end() && row->first.starts_with(prefix); ++row)
+    row->second.back() = static_cast<char>(row->second.back() ^ 1);
+}
+
 // Returns the replicas that storage nodes hold although the assignments that they know do not name them.
 auto unassigned_replicas(const fleet& cluster) -> std::string {
   auto found = std::string();
@@ -194,6 +202,42 @@
   }
 }
 
+// Guards against LOST (review/2, claiming): a replica that had lost its log claimed its partition under the identity
+// that the assignment still named, and went live without the messages. The node forgot the loss when it restarted.
+TEST(partition_copies, an_in_sync_replica_without_its_log_does_not_claim) {
+  constexpr auto claim_time = 8 * second;  // several failure timeouts
+  for (auto seed = 84; seed <= 86; ++seed) {
+    auto shape = fleet_shape();
+    shape.storage_nodes = 2;  // no third node replaces the backup
+    shape.zones = 2;
+    auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
+    CHECK(cluster.begin());
+    cluster.network.run(cluster.network.clock + 2 * second);
+    auto primary = cluster.primary_of(partition_id), backup = cluster.backup_of(partition_id);
+    auto primary_machine = cluster.processes.at(primary)->machine->name;
+    auto backup_machine = cluster.processes.at(backup)->machine->name;
+    cluster.network.cut(primary_machine, backup_machine);
+    cluster.network.cut(backup_machine, primary_machine);
+    cluster.kill(backup);
+    alter_records(cluster, backup);
+    cluster.start(backup);
+    cluster.network.run(cluster.network.clock + 2 * second);  // the node erases the damaged log
+    cluster.kill(backup);
+    cluster.kill(primary);
+    cluster.lose_disk(primary);
+    cluster.network.heal(primary_machine, backup_machine);
+    cluster.network.heal(backup_machine, primary_machine);
+    cluster.start(backup);
+    cluster.start(primary);
+    for (auto end = cluster.network.clock + claim_time; cluster.network.clock < end;) {
+      cluster.network.run(cluster.network.clock + 10 * millisecond);
+      const auto* replica = cluster.processes.at(backup)->storage->held_partition(partition_id);
+      CHECK(replica == nullptr || !replica->is_primary());
+    }
+    CHECK_EQUAL(1, cluster.processes.at(backup)->storage->session.view.partitions.count(partition_id));
+  }
+}
+
 // Guards against replicas that are never erased: a primary joined a replica once more that had just left the in-sync
 // set, or abandoned a join and left the joining replica at the current epoch.
 TEST(partition_copies, replicas_of_partitions_that_moved_away_are_erased) {
