After an abandoned join the epoch is raised only if nothing else raises it

Cause: raising it at once cost a change of the assignment for each abandoned join, although the join of another member usually follows and raises it too, and the replica waits five failure timeouts before it erases itself anyway.

Change: the primary waits five failure timeouts from the first abandoned join of an epoch, and then raises it also while another join runs, so that the time is bounded.

--- a/src/storage/partition_replicas.cpp
+++ b/src/storage/partition_replicas.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 constexpr auto min_replicas = std::size_t{2};
-constexpr auto join_timeout_factor = 15;       // a join is abandoned after this number of failure timeouts
+constexpr auto join_timeout_factor = 15;  // a join is abandoned after this number of failure timeouts
+// An epoch that an abandoned join leaves behind is raised after this number of failure timeouts, unless another change
+// has raised it before.
+constexpr auto raise_after_timeouts = 5;
 constexpr auto max_silent_heartbeats = 3;      // the lag of a backup that is silent for longer is ignored
 constexpr auto clock_entries_per_timeout = 4;  // minimum per failure timeout of an otherwise idle log (design 6.5)
 
@@ -323,16 +326,20 @@
 
 auto partition::forget_join() -> void {
   if (auto it = replicas_.find(join_.member); it != replicas_.end()) {
-    join_.abandoned_epoch = std::max(join_.abandoned_epoch, it->second.requested_epoch);
+    if (it->second.requested_epoch > join_.abandoned_epoch) {
+      join_.abandoned_epoch = it->second.requested_epoch;
+      join_.abandoned_at = host_.now();
+    }
     replicas_.erase(it);
   }
   join_.member.clear();
 }
 
 // A member of an abandoned join may have joined at the current epoch. It erases its replica only by an assignment of a
-// later epoch (is_obsolete), so the primary commits one.
+// later epoch (is_obsolete), so the primary commits one. Usually the join of another member raises the epoch first.
 auto partition::raise_epoch_after_abandoned_join() -> task<void> {
-  if (join_.member.empty() && join_.abandoned_epoch == assignment_.epoch)
+  auto raise_at = join_.abandoned_at + context_.settings.failure_timeout * raise_after_timeouts;
+  if (join_.abandoned_epoch == assignment_.epoch && host_.now() >= raise_at)
     co_await propose(assignment_, "raises the epoch after an abandoned join");
 }
 
--- a/src/storage/replica_progress.hpp
+++ b/src/storage/replica_progress.hpp
@@ -36,6 +36,7 @@
   std::set<std::string> required_acks;
   partition_epoch unresolved_epoch = -1;   // a proposal based on this epoch got no answer and may still be committed
   partition_epoch abandoned_epoch = -1;    // the highest epoch at which a member of an abandoned join may have joined
+  monotonic_time abandoned_at = 0;         // when a join was first abandoned at that epoch
   std::set<std::string> excluded_members;  // members that are not chosen as a new backup
   monotonic_time next_choice_at = 0;       // when to choose again after a failed choice, if a healthy backup remains
 };
