KNOWN-RED.txt may have more than three entries

Change: the limit is gone. Everything else about the list stands: an entry names exactly one test, and a listed test that passes fails the run.

--- a/ci/ctest.sh
+++ b/ci/ctest.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Runs the tests of one build folder: ctest.sh BUILD. Tests listed in KNOWN-RED.txt (at most three lines
-# "NAME: cause, issue N") run as well. Their failures are printed and do not change the exit status. The exit status is 1
-# if a listed test passes, because it must be removed from the list, and if an entry names no test. The last line counts
-# the tests that are not listed: "N passed, N failed".
+# Runs the tests of one build folder: ctest.sh BUILD. Tests listed in KNOWN-RED.txt (lines "NAME: cause, issue N") run as
+# well. Their failures are printed and do not change the exit status. The exit status is 1 if a listed test passes,
+# because it must be removed from the list, and if an entry names no test. The last line counts the tests that are not
+# listed: "N passed, N failed".
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
@@ -18,7 +18,6 @@
 
 known_pattern='^$'
 if [ -s "$known_failures" ]; then
-  [ "$(wc -l <"$known_failures")" -le 3 ] || fail "has more than three lines"
   while IFS=: read -r name _; do
     ctest --test-dir "$build" -N -R "$(pattern_of "$name")" | grep -q '^Total Tests: 1$' || fail "'$name' is not the name of a test"
     known_pattern+="|$(pattern_of "$name")"
