--- a/src/runtime/ev_host.cpp
+++ b/src/runtime/ev_host.cpp
@@ -13,6 +13,7 @@
 #include "runtime/file_descriptor.hpp"
 #include "runtime/io_watcher.hpp"
 #include "runtime/leveldb_store.hpp"
+#include "runtime/log.hpp"
 #include "runtime/request_error.hpp"
 #include "runtime/socket_address.hpp"
 
@@ -89,9 +90,12 @@
   ev_timer_init(
       &watchers_->timer, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);
   watch_signals();
+  watch_utilization();
 }
 
 ev_host::~ev_host() {
+  ev_set_loop_release_cb(loop, nullptr, nullptr);
+  ev_set_userdata(loop, nullptr);
   ev_timer_stop(loop, &watchers_->timer);
   ev_signal_stop(loop, &watchers_->term);
   ev_signal_stop(loop, &watchers_->interrupt);
@@ -108,6 +112,21 @@
   }
 }
 
+auto ev_host::watch_utilization() -> void {
+  ev_set_userdata(loop, this);
+  auto begin_wait = [](struct ev_loop* waiting) noexcept {
+    auto& machine = *static_cast<ev_host*>(ev_userdata(waiting));
+    auto report = machine.utilization_.begin_wait(machine.now());
+    if (report && report->is_overloaded())
+      reachridge::log(log_level::info, "event loop", report->to_text());
+  };
+  auto end_wait = [](struct ev_loop* waiting) noexcept {
+    auto& machine = *static_cast<ev_host*>(ev_userdata(waiting));
+    machine.utilization_.end_wait(machine.now());
+  };
+  ev_set_loop_release_cb(loop, begin_wait, end_wait);
+}
+
 auto ev_host::now() const -> monotonic_time {
   auto time = read_clock(CLOCK_MONOTONIC);
   return time.tv_sec * second + time.tv_nsec / 1000;
--- a/src/runtime/ev_host.hpp
+++ b/src/runtime/ev_host.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "runtime/host.hpp"
+#include "runtime/loop_utilization.hpp"
 
 namespace reachridge {
 
@@ -62,6 +63,8 @@
   auto flush_buffers() -> void;
   // Resumes ready coroutines, at most `max_steps_per_turn` of them, so that network events are handled in time.
   auto run_ready() -> void;
+  // Calls begin_wait and end_wait before and after each wait for events.
+  auto watch_utilization() -> void;
   // Waits for a network event, a signal or the next timer.
   auto wait_for_events() -> void;
 
@@ -69,6 +72,7 @@
   std::unique_ptr<store> store_;
   std::mt19937_64 random_engine_{std::random_device{}()};
   bool ended_ = false;
+  loop_utilization utilization_{now()};
   boost::intrusive::list<buffered_stream, boost::intrusive::constant_time_size<false>> buffered_;
 };
 
--- a/src/storage/partition.cpp
+++ b/src/storage/partition.cpp
@@ -46,6 +46,15 @@
   reachridge::log(log_level::info, context_.settings.name, id + ": " + text);
 }
 
+auto partition::log_debug(const std::string& text) const -> void {
+  reachridge::log(log_level::debug, context_.settings.name, id + ": " + text);
+}
+
+// Returns the time that a step took, as the end of a log line.
+auto partition::since(monotonic_time began_at) const -> std::string {
+  return " in " + std::to_string((host_.now() - began_at) / millisecond) + " ms";
+}
+
 auto partition::load() -> void {
   record_.load();
   if (record_.erased_epoch()) {
@@ -59,7 +68,8 @@
   log_.load_entries(host_.now());
   applied_index_ = log_.base_index();
   if (last_index() > 0)
-    log_info("loaded entries " + std::to_string(log_.base_index() + 1) + " to " + std::to_string(last_index()));
+    log_info("loaded entries " + std::to_string(log_.base_index() + 1) + " to " + std::to_string(last_index()) +
+             since(created_at_));
 }
 
 auto partition::wipe() -> void {
@@ -71,8 +81,11 @@
 }
 
 auto partition::store_snapshot_if_due() -> void {
-  if (log_.snapshot_is_due())
-    log_.store_snapshot(applied_index_, state_.take_snapshot());
+  if (!log_.snapshot_is_due())
+    return;
+  auto began_at = host_.now();
+  log_.store_snapshot(applied_index_, state_.take_snapshot());
+  log_debug("encoded a snapshot up to entry " + std::to_string(applied_index_) + since(began_at));
 }
 
 auto partition::append(partition_log::entry new_entry) -> entry_index {
--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -154,6 +154,8 @@
     return state_.retention_ms > 0;
   }
   auto log_info(const std::string& text) const -> void;
+  auto log_debug(const std::string& text) const -> void;
+  [[nodiscard]] auto since(monotonic_time began_at) const -> std::string;
 
   // partition.cpp: the log and the state on this node's disk.
   auto load() -> void;
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -124,12 +124,14 @@
   } else {
     if (join_reply.damaged)
       replicas_[run.member].acknowledged_index = -1;  // it was acknowledged by a log that the replica no longer has
+    auto copy_began_at = host_.now();
     auto copied_index = co_await copy_state(run, connection, join);
     if (!copied_index)
       co_return false;
     join_reply.last_index = join_reply.applied_index = join_reply.synced_index = *copied_index;
     ++replicas_[run.member].copies;
-    log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index));
+    log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index) +
+             since(copy_began_at));
   }
   begin_streaming(replicas_[run.member], join_reply);
   replicas_[run.member].joined_epoch = epoch;
