--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -325,6 +325,37 @@
   }
 }
 
+// A backup that was without power lacks more entries than the primary has logged in a quiet second, but far fewer bytes
+// than the state has.
+TEST(partition_copies, a_restarted_backup_that_lacks_little_of_a_large_state_is_not_copied) {
+  for (auto seed = 101; seed <= 102; ++seed) {
+    auto shape = shape_with_three_replicas();
+    shape.every = 20 * millisecond;
+    shape.clients = 30;
+    shape.pipeline = 40;
+    shape.partitions = 1;
+    auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
+    CHECK(cluster.begin());
+    cluster.network.run(cluster.network.clock + 15 * second);
+    auto members = cluster.in_sync_nodes(partition_id);
+    LONGS_EQUAL(3, members.size());
+    const auto& restarted = members.back();
+    const auto* primary = cluster.processes.at(members.front())->storage->held_partition(partition_id);
+    auto logged_before = get_int(primary->status(), "last");
+    cluster.power(cluster.processes.at(restarted)->machine->name, false);
+    cluster.network.run(cluster.network.clock + 600 * millisecond);
+    cluster.power(cluster.processes.at(restarted)->machine->name, true);
+    CHECK(get_int(primary->status(), "last") - logged_before > max_entries_behind);
+    cluster.network.run(cluster.network.clock + second);
+    LONGS_EQUAL(3, cluster.in_sync_nodes(partition_id).size());
+    const auto member = cluster.processes.at(restarted)->storage->session.self.member();
+    const auto status = primary->status();
+    const auto& replica = get_value(get_value(status, "copies"), member);
+    CHECK(get_bool(replica, "joined"));
+    LONGS_EQUAL(0, get_int(replica, "copies"));
+  }
+}
+
 // With fewer nodes than configured replicas, partitions run with the available nodes and accept requests.
 TEST(partition_copies, two_nodes_serve_with_three_configured_replicas) {
   auto shape = shape_with_three_replicas();
