--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -24,7 +24,8 @@
 namespace reachridge {
 
 // The maximum number of entries that a replica may lack to be added to the in-sync set. A replica that lacks at most
-// this many entries receives the entries; a replica that lacks more receives a copy of the state.
+// this many entries always receives the entries; a replica that lacks more receives a copy of the state if the copy
+// costs less.
 constexpr auto max_entries_behind = std::int64_t{256};
 
 // The services of the storage node that a partition uses. Every referenced object outlives the partition.
@@ -211,7 +212,7 @@
   auto join_replica(const replication_run& run, peer_connection& connection) -> task<bool>;
   auto request_join(const replication_run& run, peer_connection& connection, replica_join_request request)
       -> task<replica_join_reply>;
-  [[nodiscard]] auto can_continue_own_log(const replica_join_reply& reply) const -> bool;
+  [[nodiscard]] auto copy_reason(const replica_join_reply& reply) const -> std::optional<std::string>;
   auto copy_state(const replication_run& run, peer_connection& connection, join_id join)
       -> task<std::optional<entry_index>>;
   auto begin_streaming(replica_progress& replica, const replica_join_reply& join_reply) -> void;
--- a/src/storage/partition_log.cpp
+++ b/src/storage/partition_log.cpp
@@ -15,6 +15,8 @@
 constexpr auto snapshot_format = 1;
 // The number of entries that stay in memory after a snapshot. The next snapshot is due at twice this number.
 constexpr auto entries_kept_in_memory = std::size_t{1024};
+// An entry is encoded, sent, stored and applied by itself, which costs as much as copying this many bytes of state.
+constexpr auto entry_overhead_bytes = std::size_t{512};
 
 }  // namespace
 
@@ -48,6 +50,7 @@
   auto record = disk_.get(snapshot_key());
   if (!record)
     return {};
+  snapshot_bytes_ = record->size();
   auto stored = decode_with_checksum(*record);
   if (get_int(stored, "format") != snapshot_format)
     throw decode_error("partition snapshot: format is not 1");
@@ -84,6 +87,13 @@
   return entries_[static_cast<std::size_t>(index - base_index_ - 1)];
 }
 
+auto partition_log::replication_cost(entry_index index) const -> std::size_t {
+  auto cost = std::size_t{0};
+  for (auto i = index + 1; i <= last_index(); ++i)
+    cost += entry_overhead_bytes + estimate_entry_bytes(at(i).payload);
+  return cost;
+}
+
 auto partition_log::last_go_live_point(entry_index index) const -> entry_index {
   for (auto i = last_index(); i > index && i > base_index_; --i)
     if (at(i).go_live_point)
@@ -116,7 +126,7 @@
 auto partition_log::store_snapshot(entry_index applied_index, value state) -> void {
   auto snapshot =
       partition_snapshot{.index = applied_index, .epoch = epoch_at(applied_index), .state = std::move(state)};
-  disk_.put(snapshot_key(), encode_with_checksum(encode(snapshot)));
+  write_snapshot(snapshot);
   // The disk performs these erasures after the snapshot's write. If a crash prevents them, load_entries skips the
   // entries.
   for (auto i = trimmed_index_ + 1; i <= applied_index; ++i)
@@ -146,12 +156,19 @@
   entries_.clear();
   base_index_ = trimmed_index_ = synced_index_ = 0;
   base_epoch_ = 0;
+  snapshot_bytes_ = 0;
 }
 
 auto partition_log::restart_from(const partition_snapshot& snapshot) -> void {
   base_index_ = trimmed_index_ = snapshot.index;
   base_epoch_ = snapshot.epoch;
-  disk_.put(snapshot_key(), encode_with_checksum(encode(snapshot)));
+  write_snapshot(snapshot);
+}
+
+auto partition_log::write_snapshot(const partition_snapshot& snapshot) -> void {
+  auto record = encode_with_checksum(encode(snapshot));
+  snapshot_bytes_ = record.size();
+  disk_.put(snapshot_key(), std::move(record));
 }
 
 auto partition_log::begin_sync() const -> sync_point {
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -64,6 +64,9 @@
   [[nodiscard]] auto epoch_at(entry_index index) const -> partition_epoch;
   // Requires base_index() < index <= last_index().
   [[nodiscard]] auto at(entry_index index) const -> const entry&;
+  // An estimate of what it costs to send the entries above `index` to a replica and to apply them there, in bytes of
+  // state that cost as much to copy. Requires base_index() <= index.
+  [[nodiscard]] auto replication_cost(entry_index index) const -> std::size_t;
   // The index of the last entry above `index` that ends an operation, or `index` if there is no such entry.
   [[nodiscard]] auto last_go_live_point(entry_index index) const -> entry_index;
 
@@ -72,6 +75,10 @@
   // Erases the entries of an operation whose last entry was not received (design 6.4).
   auto drop_unfinished_operation() -> void;
 
+  // The size of the newest snapshot, or 0 if there is none.
+  [[nodiscard]] auto snapshot_bytes() const -> std::size_t {
+    return snapshot_bytes_;
+  }
   // Whether enough entries were appended since the last snapshot to justify the cost of a new snapshot.
   [[nodiscard]] auto snapshot_is_due() const -> bool;
   // Stores the state after `applied_index` and erases the entries up to this index from the disk. The newest of these
@@ -101,12 +108,14 @@
   [[nodiscard]] auto snapshot_key() const -> std::string;
   [[nodiscard]] auto entry_key_prefix() const -> std::string;
   [[nodiscard]] auto entry_key(entry_index index) const -> std::string;
+  auto write_snapshot(const partition_snapshot& snapshot) -> void;
 
   store& disk_;
   std::string partition_id_;
   std::deque<entry> entries_;
   entry_index base_index_ = 0;
   partition_epoch base_epoch_ = 0;
+  std::size_t snapshot_bytes_ = 0;
   entry_index trimmed_index_ = 0;  // the entries up to this index are erased from the disk
   entry_index synced_index_ = 0;
   std::int64_t wipe_count_ = 0;  // a sync that began before a wipe does not cover entries appended after the wipe
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -118,10 +118,7 @@
   auto join_reply = co_await request_join(run, connection, std::move(request));
   if (!is_current_run(run))
     co_return false;
-  if (can_continue_own_log(join_reply)) {
-    log_info(run.member + " joins with its own log up to entry " + std::to_string(join_reply.last_index) +
-             ", synced up to entry " + std::to_string(join_reply.synced_index));
-  } else {
+  if (auto reason = copy_reason(join_reply)) {
     if (join_reply.damaged)
       replicas_[run.member].acknowledged_index = -1;  // it was acknowledged by a log that the replica no longer has
     auto copy_began_at = host_.now();
@@ -131,7 +128,11 @@
     join_reply.last_index = join_reply.applied_index = join_reply.synced_index = *copied_index;
     ++replicas_[run.member].copies;
     log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index) +
-             since(copy_began_at));
+             since(copy_began_at) + ": " + *reason);
+  } else {
+    log_info(run.member + " joins with its own log up to entry " + std::to_string(join_reply.last_index) +
+             ", synced up to entry " + std::to_string(join_reply.synced_index) + ", of " +
+             std::to_string(last_index()));
   }
   begin_streaming(replicas_[run.member], join_reply);
   replicas_[run.member].joined_epoch = epoch;
@@ -153,13 +154,19 @@
   }
 }
 
-// Whether the replica can keep its log: the log is a prefix of this log and lacks few enough entries.
-auto partition::can_continue_own_log(const replica_join_reply& reply) const -> bool {
-  // A replica with more entries to replay catches up faster with a copy of the state.
-  auto little_to_replay = last_index() - reply.applied_index <= max_entries_behind;
-  auto is_in_memory = reply.last_index >= log_.base_index() && reply.last_index <= last_index();
-  auto logs_match = is_in_memory && log_.epoch_at(reply.last_index) == reply.last_epoch;
-  return !reply.damaged && little_to_replay && logs_match;
+// Returns why the replica needs a copy of the state, or no value if it can keep its log: the log is a prefix of this
+// log, and the entries that it lacks or has not applied cost less than a copy of the state.
+auto partition::copy_reason(const replica_join_reply& reply) const -> std::optional<std::string> {
+  if (reply.damaged)
+    return "it has no log or a damaged one";
+  if (reply.last_index > last_index() || log_.epoch_at(reply.last_index) != reply.last_epoch)
+    return reply.last_index < log_.base_index() ? "the entries that it lacks are no longer in memory"
+                                                : "its log differs from this log";
+  auto first_needed = std::max(log_.base_index(), std::min(reply.last_index, reply.applied_index));
+  auto lacks_few_entries = last_index() - reply.applied_index <= max_entries_behind;
+  if (!lacks_few_entries && log_.replication_cost(first_needed) > log_.snapshot_bytes())
+    return "a copy costs less than the entries that it lacks";
+  return {};
 }
 
 // Sends a copy of the state to the replica. The state is captured between two operations, and the partition continues
--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -336,7 +336,7 @@
     shape.partitions = 1;
     auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
     CHECK(cluster.begin());
-    cluster.network.run(cluster.network.clock + 15 * second);
+    cluster.network.run(cluster.network.clock + 8 * second);
     auto members = cluster.in_sync_nodes(partition_id);
     LONGS_EQUAL(3, members.size());
     const auto& restarted = members.back();
