--- a/src/raft/codec.cpp
+++ b/src/raft/codec.cpp
@@ -3,9 +3,9 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/crc.hpp>
 #include <set>
 
+#include "runtime/checksum.hpp"
 #include "runtime/request_error.hpp"
 
 namespace reachridge {
@@ -439,9 +439,7 @@
 }
 
 auto checksum_of(std::string_view bytes) -> std::int64_t {
-  auto crc = boost::crc_32_type();
-  crc.process_bytes(bytes.data(), bytes.size());
-  return crc.checksum();
+  return crc_32(bytes);
 }
 
 }  // namespace reachridge
--- a/src/runtime/cbor.cpp
+++ b/src/runtime/cbor.cpp
@@ -2,11 +2,11 @@
 #include <cbor.h>
 
 #include <array>
-#include <boost/crc.hpp>
 #include <cstddef>
 #include <utility>
 #include <vector>
 
+#include "runtime/checksum.hpp"
 #include "runtime/value.hpp"
 
 namespace reachridge {
@@ -281,12 +281,6 @@
   return callbacks;
 }
 
-auto crc_32(std::string_view bytes) -> std::uint32_t {
-  auto crc = boost::crc_32_type();
-  crc.process_bytes(bytes.data(), bytes.size());
-  return crc.checksum();
-}
-
 }  // namespace
 
 auto encode_cbor(const value& encoded) -> std::string {
--- a/src/runtime/value_test.cpp
+++ b/src/runtime/value_test.cpp
@@ -1,3 +1,4 @@
+#include "runtime/checksum.hpp"
 #include "runtime/value.hpp"
 
 #include <string>
@@ -14,6 +15,12 @@
   CHECK(decode_cbor(encode_cbor(original)) == original);
 }
 
+// Records on disk carry this checksum, so it must not change.
+TEST(value_bytes, checksum_is_the_crc_32_of_gzip) {
+  UNSIGNED_LONGS_EQUAL(0xCBF43926U, crc_32("123456789"));
+  UNSIGNED_LONGS_EQUAL(0U, crc_32(""));
+}
+
 TEST(value_bytes, every_flipped_bit_is_detected) {
   auto bytes = encode_with_checksum(boost::json::parse(R"({"k":"value","n":12})"));
   for (auto i = 0U; i < bytes.size() * 8; ++i) {
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -127,8 +127,8 @@
       co_return false;
     join_reply.last_index = join_reply.applied_index = join_reply.synced_index = *copied_index;
     ++replicas_[run.member].copies;
-    log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index) +
-             since(copy_began_at) + ": " + *reason);
+    log_info("copied the state to " + run.member + " at entry " + std::to_string(*copied_index) + since(copy_began_at) +
+             ": " + *reason);
   } else {
     log_info(run.member + " joins with its own log up to entry " + std::to_string(join_reply.last_index) +
              ", synced up to entry " + std::to_string(join_reply.synced_index) + ", of " +
