--- a/src/storage/partition_log.cpp
+++ b/src/storage/partition_log.cpp
@@ -13,11 +13,16 @@
 namespace {
 
 constexpr auto snapshot_format = 1;
-// The number of entries that stay in memory after a snapshot. The next snapshot is due at twice this number.
-constexpr auto entries_kept_in_memory = std::size_t{1024};
+constexpr auto entries_kept_in_memory = std::size_t{1024};  // after a snapshot, for backups that lack a few entries
+constexpr auto min_entries_for_snapshot = entries_kept_in_memory * 2;
+constexpr auto max_entries_in_memory = entries_kept_in_memory * 8;
 // An entry is encoded, sent, stored and applied by itself, which costs as much as copying this many bytes of state.
 constexpr auto entry_overhead_bytes = std::size_t{512};
 
+auto cost_of(const partition_log::entry& entry) -> std::size_t {
+  return entry_overhead_bytes + estimate_entry_bytes(entry.payload);
+}
+
 }  // namespace
 
 auto encode(const partition_snapshot& snapshot) -> value {
@@ -72,6 +77,7 @@
     auto stored = decode_replicated_entry(decode_with_checksum(record));
     entries_.push_back({stored.epoch, stored.go_live_point, std::move(stored.payload), now});
   });
+  cost_since_snapshot_ = replication_cost(base_index_);
   synced_index_ = disk_.all_durable() ? last_index() : 0;  // entries that are only queued count after the next sync
 }
 
@@ -90,7 +96,7 @@
 auto partition_log::replication_cost(entry_index index) const -> std::size_t {
   auto cost = std::size_t{0};
   for (auto i = index + 1; i <= last_index(); ++i)
-    cost += entry_overhead_bytes + estimate_entry_bytes(at(i).payload);
+    cost += cost_of(at(i));
   return cost;
 }
 
@@ -107,6 +113,7 @@
   disk_.put(entry_key(index), encode_with_checksum(encode(stored)));
   if (!is_clock_advance(new_entry.payload))
     sync_is_urgent_ = true;
+  cost_since_snapshot_ += cost_of(new_entry);
   entries_.push_back(std::move(new_entry));
   return index;
 }
@@ -114,13 +121,16 @@
 auto partition_log::drop_unfinished_operation() -> void {
   while (last_index() > base_index_ && !entries_.back().go_live_point) {
     disk_.erase(entry_key(last_index()));
+    cost_since_snapshot_ -= std::min(cost_since_snapshot_, cost_of(entries_.back()));
     entries_.pop_back();
   }
   synced_index_ = std::min(synced_index_, last_index());
 }
 
 auto partition_log::snapshot_is_due() const -> bool {
-  return entries_.size() >= entries_kept_in_memory * 2;
+  if (entries_.size() < min_entries_for_snapshot)
+    return false;
+  return entries_.size() >= max_entries_in_memory || cost_since_snapshot_ >= snapshot_bytes_;
 }
 
 auto partition_log::store_snapshot(entry_index applied_index, value state) -> void {
@@ -132,6 +142,7 @@
   for (auto i = trimmed_index_ + 1; i <= applied_index; ++i)
     disk_.erase(entry_key(i));
   trimmed_index_ = applied_index;
+  cost_since_snapshot_ = replication_cost(applied_index);
   while (entries_.size() > entries_kept_in_memory && base_index_ < applied_index) {
     base_epoch_ = entries_.front().epoch;
     entries_.pop_front();
@@ -156,7 +167,7 @@
   entries_.clear();
   base_index_ = trimmed_index_ = synced_index_ = 0;
   base_epoch_ = 0;
-  snapshot_bytes_ = 0;
+  snapshot_bytes_ = cost_since_snapshot_ = 0;
 }
 
 auto partition_log::restart_from(const partition_snapshot& snapshot) -> void {
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -79,7 +79,8 @@
   [[nodiscard]] auto snapshot_bytes() const -> std::size_t {
     return snapshot_bytes_;
   }
-  // Whether enough entries were appended since the last snapshot to justify the cost of a new snapshot.
+  // Whether enough was appended since the last snapshot to justify the cost of a new one: at least a minimum number of
+  // entries, and entries that cost as much as the state (replication_cost) or that fill the memory meant for them.
   [[nodiscard]] auto snapshot_is_due() const -> bool;
   // Stores the state after `applied_index` and erases the entries up to this index from the disk. The newest of these
   // entries stay in memory for backups that lack only a few entries.
@@ -116,6 +117,7 @@
   entry_index base_index_ = 0;
   partition_epoch base_epoch_ = 0;
   std::size_t snapshot_bytes_ = 0;
+  std::size_t cost_since_snapshot_ = 0;
   entry_index trimmed_index_ = 0;  // the entries up to this index are erased from the disk
   entry_index synced_index_ = 0;
   std::int64_t wipe_count_ = 0;  // a sync that began before a wipe does not cover entries appended after the wipe
--- a/src/storage/partition_log_test.cpp
+++ b/src/storage/partition_log_test.cpp
@@ -130,6 +130,51 @@
   LONGS_EQUAL(1, reloaded.epoch_at(last));
 }
 
+// When all clients return at once, many small subscribe entries follow each other. A large state must not be encoded
+// after each thousand of them.
+TEST(partition_log, snapshot_of_a_large_state_is_not_due_after_few_bytes) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  constexpr auto state_bytes = std::size_t{2} << 20;
+  log.append(clock_entry(1, true));
+  log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
+  while (!log.snapshot_is_due())
+    log.append(clock_entry(1, true));
+  CHECK(log.replication_cost(1) >= state_bytes);
+  log.store_snapshot(log.last_index(), object{{"some", "state"}});
+  auto entries_before = log.last_index();
+  while (!log.snapshot_is_due())
+    log.append(clock_entry(1, true));
+  CHECK(log.last_index() - entries_before <= 2048);
+}
+
+TEST(partition_log, entries_in_memory_are_bounded_however_large_the_state_is) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  constexpr auto state_bytes = std::size_t{32} << 20;
+  log.append(clock_entry(1, true));
+  log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
+  while (!log.snapshot_is_due())
+    log.append(clock_entry(1, true));
+  CHECK(log.last_index() - log.base_index() <= 8192);
+}
+
+TEST(partition_log, a_reloaded_log_is_due_for_a_snapshot_as_before) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  constexpr auto state_bytes = std::size_t{2} << 20;
+  log.append(clock_entry(1, true));
+  log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
+  while (!log.snapshot_is_due())
+    log.append(clock_entry(1, true));
+
+  auto reloaded = partition_log(fixture.disk(), "p/0");
+  CHECK(reloaded.load_snapshot().has_value());
+  reloaded.load_entries(0);
+  CHECK(reloaded.snapshot_is_due());
+  LONGS_EQUAL(log.replication_cost(1), reloaded.replication_cost(1));
+}
+
 TEST(partition_log, only_entries_other_than_clock_advances_need_an_immediate_sync) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
