--- a/src/runtime/ev_host.cpp
+++ b/src/runtime/ev_host.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr auto max_steps_per_turn = 512;
+constexpr auto max_turn_time = 10 * millisecond;
 constexpr auto longest_wait_seconds = 3600.0;
 constexpr auto listen_backlog = 1024;
 
@@ -184,8 +185,9 @@
 }
 
 auto ev_host::run_ready() -> void {
+  const auto turn_end = now() + max_turn_time;
   auto steps = 0;
-  while (steps < max_steps_per_turn && !ended_ && step())
+  while (steps < max_steps_per_turn && !ended_ && now() < turn_end && step())
     ++steps;
 }
 
--- a/src/runtime/ev_host.hpp
+++ b/src/runtime/ev_host.hpp
@@ -61,7 +61,8 @@
   struct watchers;
   auto watch_signals() -> void;
   auto flush_buffers() -> void;
-  // Resumes ready coroutines, at most `max_steps_per_turn` of them, so that network events are handled in time.
+  // Resumes ready coroutines, at most `max_steps_per_turn` of them and none after `max_turn_time`, so that network
+  // events are handled in time.
   auto run_ready() -> void;
   // Calls begin_wait and end_wait before and after each wait for events.
   auto watch_utilization() -> void;
