--- a/src/runtime/value_test.cpp
+++ b/src/runtime/value_test.cpp
@@ -1,5 +1,5 @@
-#include "runtime/checksum.hpp"
 #include "runtime/value.hpp"
+#include "runtime/checksum.hpp"
 
 #include <string>
 
