--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -212,6 +212,7 @@
   auto join_replica(const replication_run& run, peer_connection& connection) -> task<bool>;
   auto request_join(const replication_run& run, peer_connection& connection, replica_join_request request)
       -> task<replica_join_reply>;
+  [[nodiscard]] auto common_entry(const replica_join_reply& reply) const -> std::optional<entry_identity>;
   [[nodiscard]] auto copy_reason(const replica_join_reply& reply) const -> std::optional<std::string>;
   auto copy_state(const replication_run& run, peer_connection& connection, join_id join)
       -> task<std::optional<entry_index>>;
@@ -232,6 +233,7 @@
   auto become_backup() -> void;
   auto install_state(const partition_snapshot& snapshot) -> void;
   auto take_entries(append_message message) -> bool;
+  auto truncate_log(const entry_identity& last_common) -> void;
   auto send_acknowledgement(bool rejected) -> void;
   auto replay() -> task<void>;
   auto replay_up_to(entry_index end) -> task<void>;
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -78,6 +78,8 @@
     became_backup_at_ = host_.now();
   role_ = replica_role::backup;
   record_.store_joined_epoch(request.epoch);
+  if (request.truncate_to)
+    truncate_log(*request.truncate_to);
   auto sync_start = log_.begin_sync();
   co_await disk_.sync();
   log_.finish_sync(sync_start);  // entries appended during the sync are not synced yet
@@ -88,6 +90,24 @@
                                .synced_index = log_.synced_index()};
 }
 
+// Removes the entries above the last one that this log has in common with the primary's. If they have been applied, the
+// state is restored from the snapshot and replayed. Keeps the log if it does not have that entry or has entries of a
+// later epoch than the primary's; the primary then sends a copy of the state.
+auto partition::truncate_log(const entry_identity& last_common) -> void {
+  auto is_from_newer_primary = log_.epoch_at(last_index()) > followed_.epoch;
+  if (is_damaged_ || is_from_newer_primary || !log_.can_truncate_to(last_common))
+    return;
+  log_info("removes the entries " + std::to_string(last_common.index + 1) + " to " + std::to_string(last_index()) +
+           ", which the primary does not have");
+  if (applied_index_ > last_common.index) {
+    auto snapshot = log_.read_snapshot();
+    state_ = snapshot ? partition_state::restore(*snapshot) : partition_state();
+    applied_index_ = log_.snapshot_index();
+  }
+  log_.truncate_to(last_common.index);
+  entries_received_.wake();
+}
+
 auto partition::on_state_chunk(state_chunk chunk) -> task<void> {
   auto running = running_call_guard(running_calls_);
   if (!follows(chunk.primary, chunk.epoch))
@@ -210,12 +230,14 @@
   }
 }
 
-// Applies the entries up to `end`. Stops early if this replica becomes the primary or its log is wiped or replaced.
+// Applies the entries up to `end`. Stops early if this replica becomes the primary or its log is wiped, replaced or
+// truncated.
 auto partition::replay_up_to(entry_index end) -> task<void> {
-  while (applied_index_ < end && may_replay()) {
+  const auto truncations = log_.truncations();
+  while (applied_index_ < end && log_.truncations() == truncations && may_replay()) {
     if (context_.settings.replay_delay > 0)
       co_await sleep_for(host_, context_.settings.replay_delay);
-    if (!may_replay())
+    if (log_.truncations() != truncations || !may_replay())
       break;
     auto index = applied_index_ + 1;
     state_.apply(index, decode_log_entry(log_.at(index).payload));  // drops the outputs: the primary sends them
--- a/src/storage/partition_log.cpp
+++ b/src/storage/partition_log.cpp
@@ -19,6 +19,13 @@
 // An entry is encoded, sent, stored and applied by itself, which costs as much as copying this many bytes of state.
 constexpr auto entry_overhead_bytes = std::size_t{512};
 
+auto decode_record(const std::string& record) -> partition_snapshot {
+  auto stored = decode_with_checksum(record);
+  if (get_int(stored, "format") != snapshot_format)
+    throw decode_error("partition snapshot: format is not 1");
+  return decode_partition_snapshot(stored);
+}
+
 auto cost_of(const partition_log::entry& entry) -> std::size_t {
   return entry_overhead_bytes + estimate_entry_bytes(entry.payload);
 }
@@ -56,15 +63,19 @@
   if (!record)
     return {};
   snapshot_bytes_ = record->size();
-  auto stored = decode_with_checksum(*record);
-  if (get_int(stored, "format") != snapshot_format)
-    throw decode_error("partition snapshot: format is not 1");
-  auto snapshot = decode_partition_snapshot(stored);
+  auto snapshot = decode_record(*record);
   base_index_ = snapshot.index;
   base_epoch_ = snapshot.epoch;
   return std::move(snapshot.state);
 }
 
+auto partition_log::read_snapshot() const -> std::optional<value> {
+  auto record = disk_.get(snapshot_key());
+  if (!record)
+    return {};
+  return decode_record(*record).state;
+}
+
 auto partition_log::load_entries(monotonic_time now) -> void {
   trimmed_index_ = base_index_;
   auto expected = base_index_;
@@ -118,15 +129,37 @@
   return index;
 }
 
+auto partition_log::last_entry_of_epoch(entry_index index, partition_epoch epoch) const -> entry_identity {
+  auto found = std::max(base_index_, std::min(index, last_index()));
+  while (found > base_index_ && at(found).epoch > epoch)
+    --found;
+  return {found, epoch_at(found)};
+}
+
+auto partition_log::can_truncate_to(const entry_identity& entry) const -> bool {
+  auto is_after_snapshot = entry.index >= std::max(base_index_, trimmed_index_);
+  return is_after_snapshot && entry.index <= last_index() && epoch_at(entry.index) == entry.epoch;
+}
+
+auto partition_log::truncate_to(entry_index index) -> void {
+  ++truncations_;
+  while (last_index() > index)
+    drop_last_entry();
+  synced_index_ = std::min(synced_index_, last_index());
+}
+
 auto partition_log::drop_unfinished_operation() -> void {
-  while (last_index() > base_index_ && !entries_.back().go_live_point) {
-    disk_.erase(entry_key(last_index()));
-    cost_since_snapshot_ -= std::min(cost_since_snapshot_, cost_of(entries_.back()));
-    entries_.pop_back();
-  }
+  while (last_index() > base_index_ && !entries_.back().go_live_point)
+    drop_last_entry();
   synced_index_ = std::min(synced_index_, last_index());
 }
 
+auto partition_log::drop_last_entry() -> void {
+  disk_.erase(entry_key(last_index()));
+  cost_since_snapshot_ -= std::min(cost_since_snapshot_, cost_of(entries_.back()));
+  entries_.pop_back();
+}
+
 auto partition_log::snapshot_is_due() const -> bool {
   if (entries_.size() < min_entries_for_snapshot)
     return false;
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -72,6 +72,22 @@
 
   // Appends an entry and returns its index.
   auto append(entry new_entry) -> entry_index;
+  // The last entry up to `index` whose epoch is at most `epoch`; the entry at base_index() if there is none above it.
+  [[nodiscard]] auto last_entry_of_epoch(entry_index index, partition_epoch epoch) const -> entry_identity;
+  // Whether the log has this entry and the newest snapshot does not contain entries above it.
+  [[nodiscard]] auto can_truncate_to(const entry_identity& entry) const -> bool;
+  // Erases the entries above `index`. Requires can_truncate_to for the entry at `index`.
+  auto truncate_to(entry_index index) -> void;
+  // How often truncate_to has erased entries.
+  [[nodiscard]] auto truncations() const -> std::int64_t {
+    return truncations_;
+  }
+  // The last entry that the newest snapshot contains; 0 if there is no snapshot.
+  [[nodiscard]] auto snapshot_index() const -> entry_index {
+    return trimmed_index_;
+  }
+  // Returns the state at snapshot_index(), or no value if there is no snapshot. Throws decode_error if it is damaged.
+  [[nodiscard]] auto read_snapshot() const -> std::optional<value>;
   // Erases the entries of an operation whose last entry was not received (design 6.4).
   auto drop_unfinished_operation() -> void;
 
@@ -110,6 +126,7 @@
   [[nodiscard]] auto entry_key_prefix() const -> std::string;
   [[nodiscard]] auto entry_key(entry_index index) const -> std::string;
   auto write_snapshot(const partition_snapshot& snapshot) -> void;
+  auto drop_last_entry() -> void;
 
   store& disk_;
   std::string partition_id_;
@@ -118,9 +135,10 @@
   partition_epoch base_epoch_ = 0;
   std::size_t snapshot_bytes_ = 0;
   std::size_t cost_since_snapshot_ = 0;
-  entry_index trimmed_index_ = 0;  // the entries up to this index are erased from the disk
+  entry_index trimmed_index_ = 0;  // the newest snapshot contains the entries up to this index
   entry_index synced_index_ = 0;
   std::int64_t wipe_count_ = 0;  // a sync that began before a wipe does not cover entries appended after the wipe
+  std::int64_t truncations_ = 0;
   bool sync_is_urgent_ = false;
 };
 
--- a/src/storage/partition_log_test.cpp
+++ b/src/storage/partition_log_test.cpp
@@ -175,6 +175,53 @@
   LONGS_EQUAL(log.replication_cost(1), reloaded.replication_cost(1));
 }
 
+TEST(partition_log, truncated_entries_are_gone_from_memory_and_disk) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  for (auto epoch : {1, 1, 2, 2, 4})
+    log.append(clock_entry(epoch, true));
+  log.mark_synced(5);
+  log.truncate_to(3);
+  LONGS_EQUAL(3, log.last_index());
+  LONGS_EQUAL(3, log.synced_index());
+
+  auto reloaded = partition_log(fixture.disk(), "p/0");
+  CHECK(!reloaded.load_snapshot().has_value());
+  reloaded.load_entries(0);
+  LONGS_EQUAL(3, reloaded.last_index());
+  LONGS_EQUAL(2, reloaded.epoch_at(3));
+}
+
+// The entry that a sync covered has the same index as a later one of another epoch.
+TEST(partition_log, sync_that_began_before_a_truncation_covers_no_later_entry) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  log.append(clock_entry(1, true));
+  log.append(clock_entry(1, true));
+  auto sync_start = log.begin_sync();
+  log.truncate_to(1);
+  log.append(clock_entry(2, true));
+  log.finish_sync(sync_start);
+  LONGS_EQUAL(0, log.synced_index());
+}
+
+TEST(partition_log, only_common_entries_after_the_snapshot_can_be_truncated_to) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  for (auto epoch : {1, 1, 2, 2, 4})
+    log.append(clock_entry(epoch, true));
+  auto newest_of_epoch_3 = log.last_entry_of_epoch(9, 3);
+  LONGS_EQUAL(4, newest_of_epoch_3.index);
+  LONGS_EQUAL(2, newest_of_epoch_3.epoch);
+  LONGS_EQUAL(0, log.last_entry_of_epoch(9, 0).index);
+  CHECK(log.can_truncate_to({2, 1}));
+  CHECK(!log.can_truncate_to({2, 2}));
+  CHECK(!log.can_truncate_to({6, 4}));
+  log.store_snapshot(3, object{{"some", "state"}});
+  CHECK(!log.can_truncate_to({2, 1}));
+  CHECK(log.can_truncate_to({3, 2}));
+}
+
 TEST(partition_log, only_entries_other_than_clock_advances_need_an_immediate_sync) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -115,9 +115,16 @@
   auto request = replica_join_request{
       .partition = id, .epoch = assignment_.epoch, .primary = own_member(), .join = join, .last_index = last_index()};
   auto epoch = request.epoch;
-  auto join_reply = co_await request_join(run, connection, std::move(request));
+  auto join_reply = co_await request_join(run, connection, request);
   if (!is_current_run(run))
     co_return false;
+  if (auto common = common_entry(join_reply)) {
+    request.join = join = ++last_join_id_;
+    request.truncate_to = common;
+    join_reply = co_await request_join(run, connection, std::move(request));
+    if (!is_current_run(run))
+      co_return false;
+  }
   if (auto reason = copy_reason(join_reply)) {
     if (join_reply.damaged)
       replicas_[run.member].acknowledged_index = -1;  // it was acknowledged by a log that the replica no longer has
@@ -154,6 +161,15 @@
   }
 }
 
+// Returns the entry up to which the replica may have the same log, if the replica has other entries above it. No output
+// of those was released: every in-sync replica, and so this primary, has the released entries.
+auto partition::common_entry(const replica_join_reply& reply) const -> std::optional<entry_identity> {
+  auto is_prefix = reply.last_index <= last_index() && log_.epoch_at(reply.last_index) == reply.last_epoch;
+  if (reply.damaged || is_prefix || reply.last_index <= log_.base_index())
+    return {};
+  return log_.last_entry_of_epoch(reply.last_index, reply.last_epoch);
+}
+
 // Returns why the replica needs a copy of the state, or no value if it can keep its log: the log is a prefix of this
 // log, and the entries that it lacks or has not applied cost less than a copy of the state.
 auto partition::copy_reason(const replica_join_reply& reply) const -> std::optional<std::string> {
--- a/src/storage/replication_codec.cpp
+++ b/src/storage/replication_codec.cpp
@@ -63,12 +63,15 @@
 }
 
 auto encode(const replica_join_request& request) -> value {
-  return object{{"op", to_string(replication_operation::join)},
-                {"cell", request.partition},
-                {"epoch", request.epoch},
-                {"from", request.primary},
-                {"join", request.join},
-                {"last", request.last_index}};
+  auto message = object{{"op", to_string(replication_operation::join)},
+                        {"cell", request.partition},
+                        {"epoch", request.epoch},
+                        {"from", request.primary},
+                        {"join", request.join},
+                        {"last", request.last_index}};
+  if (request.truncate_to)
+    message["truncate"] = object{{"index", request.truncate_to->index}, {"epoch", request.truncate_to->epoch}};
+  return message;
 }
 
 // The last index only informs readers of a trace. A backup does not use the index, so the field is optional and
@@ -80,6 +83,8 @@
   request.primary = get_string(message, "from");
   request.join = get_int_or(message, "join", 0);
   request.last_index = get_int_or(message, "last", 0);
+  if (const auto& entry = get_value(message, "truncate"); entry.is_object())
+    request.truncate_to = entry_identity{get_int(entry, "index"), get_int(entry, "epoch")};
   return request;
 }
 
--- a/src/storage/replication_codec_test.cpp
+++ b/src/storage/replication_codec_test.cpp
@@ -36,6 +36,12 @@
   STRCMP_EQUAL(R"({"op":"c.join","cell":"p/0","epoch":4,"from":"n1/d1","join":7,"last":9})",
                to_json(encode(join)).c_str());
 
+  join.truncate_to = entry_identity{8, 3};
+  STRCMP_EQUAL(R"({"op":"c.join","cell":"p/0","epoch":4,"from":"n1/d1","join":7,"last":9,)"
+               R"("truncate":{"index":8,"epoch":3}})",
+               to_json(encode(join)).c_str());
+  CHECK(encode(decode_replica_join_request(encode(join))) == encode(join));
+
   auto chunk = state_chunk{.partition = "p/0",
                            .epoch = 4,
                            .primary = "n1/d1",
--- a/src/storage/replication_messages.hpp
+++ b/src/storage/replication_messages.hpp
@@ -45,6 +45,13 @@
   value payload;
 };
 
+// Identifies an entry: in all logs of a partition, entries with the same index and epoch are equal, and so are the
+// entries before them.
+struct entry_identity {
+  entry_index index = 0;
+  partition_epoch epoch = 0;
+};
+
 // Asks a backup to follow the sending primary.
 struct replica_join_request {
   std::string partition;
@@ -52,6 +59,9 @@
   std::string primary;         // the member that sends the request
   join_id join = 0;            // 0: sent by a release that does not number joins
   entry_index last_index = 0;  // the last index of the primary's log
+  // The backup removes the entries above this one, if it has it: the primary lacks them. Releases that do not know the
+  // field remove nothing.
+  std::optional<entry_identity> truncate_to = {};
 };
 
 // Describes the log of a backup to the primary that the backup now follows.
--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -31,6 +31,15 @@
   return shape;
 }
 
+// Three replicas, and clients that log several hundred entries in each second even while none is acknowledged.
+auto busy_shape() -> fleet_shape {
+  auto shape = shape_with_three_replicas();
+  shape.every = 20 * millisecond;
+  shape.clients = 30;
+  shape.pipeline = 40;
+  return shape;
+}
+
 auto join_message(std::int64_t join) -> value {
   return object{{"op", "c.join"},          {"cell", partition_id}, {"epoch", foreign_epoch},
                 {"from", foreign_primary}, {"join", join},         {"last", 0}};
@@ -329,10 +338,7 @@
 // than the state has.
 TEST(partition_copies, a_restarted_backup_that_lacks_little_of_a_large_state_is_not_copied) {
   for (auto seed = 101; seed <= 102; ++seed) {
-    auto shape = shape_with_three_replicas();
-    shape.every = 20 * millisecond;
-    shape.clients = 30;
-    shape.pipeline = 40;
+    auto shape = busy_shape();
     shape.partitions = 1;
     auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
     CHECK(cluster.begin());
@@ -356,6 +362,38 @@
   }
 }
 
+// The primary's disk is slow, so the backups have synced entries that the primary loses with its power. No output of
+// them was released. The backups remove them instead of taking copies of the state.
+TEST(partition_copies, backups_remove_entries_that_the_primary_lost) {
+  auto truncations = 0;
+  for (auto seed = 111; seed <= 112; ++seed) {
+    auto shape = busy_shape();
+    auto cluster = fleet(static_cast<std::uint64_t>(seed), shape);
+    CHECK(cluster.begin());
+    cluster.network.run(cluster.network.clock + 3 * second);
+    auto members = cluster.in_sync_nodes(partition_id);
+    LONGS_EQUAL(3, members.size());
+    cluster.processes.at(members.front())->machine->sync_cost = 300 * millisecond;
+    cluster.network.run(cluster.network.clock + 250 * millisecond);
+    cluster.processes.at(members.front())->machine->sync_cost = shape.sync;
+    cluster.power("all", false);
+    cluster.network.run(cluster.network.clock + second);
+    cluster.power("all", true);
+    cluster.network.run(cluster.network.clock + 6 * second);
+    LONGS_EQUAL(3, cluster.in_sync_nodes(partition_id).size());
+    STRCMP_EQUAL(members.front().c_str(), cluster.primary_of(partition_id).c_str());
+    const auto status = cluster.processes.at(members.front())->storage->held_partition(partition_id)->status();
+    for (const auto& replica : get_value(status, "copies").as_object()) {
+      CHECK(get_bool(replica.value(), "joined"));
+      LONGS_EQUAL(0, get_int(replica.value(), "copies"));
+    }
+    const auto lines = recent_log();
+    const auto removal = partition_id + ": removes the entries";
+    truncations += lines.find(removal) != std::string::npos ? 1 : 0;
+  }
+  CHECK(truncations > 0);
+}
+
 // With fewer nodes than configured replicas, partitions run with the available nodes and accept requests.
 TEST(partition_copies, two_nodes_serve_with_three_configured_replicas) {
   auto shape = shape_with_three_replicas();
