--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -212,6 +212,7 @@
   auto join_replica(const replication_run& run, peer_connection& connection) -> task<bool>;
   auto request_join(const replication_run& run, peer_connection& connection, replica_join_request request)
       -> task<replica_join_reply>;
+  [[nodiscard]] auto is_prefix(const replica_join_reply& reply) const -> bool;
   [[nodiscard]] auto common_entry(const replica_join_reply& reply) const -> std::optional<entry_identity>;
   [[nodiscard]] auto copy_reason(const replica_join_reply& reply) const -> std::optional<std::string>;
   auto copy_state(const replication_run& run, peer_connection& connection, join_id join)
--- a/src/storage/partition_replication.cpp
+++ b/src/storage/partition_replication.cpp
@@ -161,11 +161,15 @@
   }
 }
 
+// Whether the replica's log is a prefix of this log. Entries that are no longer in memory cannot be compared.
+auto partition::is_prefix(const replica_join_reply& reply) const -> bool {
+  return reply.last_index <= last_index() && log_.epoch_at(reply.last_index) == reply.last_epoch;
+}
+
 // Returns the entry up to which the replica may have the same log, if the replica has other entries above it. No output
 // of those was released: every in-sync replica, and so this primary, has the released entries.
 auto partition::common_entry(const replica_join_reply& reply) const -> std::optional<entry_identity> {
-  auto is_prefix = reply.last_index <= last_index() && log_.epoch_at(reply.last_index) == reply.last_epoch;
-  if (reply.damaged || is_prefix || reply.last_index <= log_.base_index())
+  if (reply.damaged || is_prefix(reply) || reply.last_index <= log_.base_index())
     return {};
   return log_.last_entry_of_epoch(reply.last_index, reply.last_epoch);
 }
@@ -175,9 +179,10 @@
 auto partition::copy_reason(const replica_join_reply& reply) const -> std::optional<std::string> {
   if (reply.damaged)
     return "it has no log or a damaged one";
-  if (reply.last_index > last_index() || log_.epoch_at(reply.last_index) != reply.last_epoch)
-    return reply.last_index < log_.base_index() ? "the entries that it lacks are no longer in memory"
-                                                : "its log differs from this log";
+  if (reply.last_index < log_.base_index())
+    return "the entries that it lacks are no longer in memory";
+  if (!is_prefix(reply))
+    return "its log differs from this log";
   auto first_needed = std::max(log_.base_index(), std::min(reply.last_index, reply.applied_index));
   auto lacks_few_entries = last_index() - reply.applied_index <= max_entries_behind;
   if (!lacks_few_entries && log_.replication_cost(first_needed) > log_.snapshot_bytes())
