--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -235,6 +235,7 @@
   auto install_state(const partition_snapshot& snapshot) -> void;
   auto take_entries(append_message message) -> bool;
   auto truncate_log(const entry_identity& last_common) -> void;
+  auto restore_snapshot() -> bool;
   auto send_acknowledgement(bool rejected) -> void;
   auto replay() -> task<void>;
   auto replay_up_to(entry_index end) -> task<void>;
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -99,13 +99,26 @@
     return;
   log_info("removes the entries " + std::to_string(last_common.index + 1) + " to " + std::to_string(last_index()) +
            ", which the primary does not have");
-  if (applied_index_ > last_common.index) {
+  if (applied_index_ > last_common.index && !restore_snapshot())
+    return;
+  log_.truncate_to(last_common.index);
+  entries_received_.wake();
+}
+
+// Sets the state back to the newest snapshot. If its record is damaged, erases the replica and returns false; the
+// primary then sends a copy of the state (design 6.8).
+auto partition::restore_snapshot() -> bool {
+  try {
     auto snapshot = log_.read_snapshot();
     state_ = snapshot ? partition_state::restore(*snapshot) : partition_state();
     applied_index_ = log_.snapshot_index();
+    return true;
+  } catch (const decode_error& error) {
+    reachridge::log(log_level::error, context_.settings.name, id + ": the snapshot is damaged: " + error.what());
+    wipe();
+    is_damaged_ = true;
+    return false;
   }
-  log_.truncate_to(last_common.index);
-  entries_received_.wake();
 }
 
 auto partition::on_state_chunk(state_chunk chunk) -> task<void> {
--- a/src/storage/partition_log_test.cpp
+++ b/src/storage/partition_log_test.cpp
@@ -222,6 +222,20 @@
   CHECK(log.can_truncate_to({3, 2}));
 }
 
+TEST(partition_log, a_damaged_snapshot_is_not_read) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  CHECK(!log.read_snapshot().has_value());
+  log.append(clock_entry(1, true));
+  log.store_snapshot(1, object{{"some", "state"}});
+  CHECK(*log.read_snapshot() == value(object{{"some", "state"}}));
+  LONGS_EQUAL(1, log.snapshot_index());
+  auto record = *fixture.disk().get("C/p/0/s");
+  record.back() = static_cast<char>(record.back() ^ 1);
+  fixture.disk().put("C/p/0/s", record);
+  CHECK_THROWS(decode_error, (void)log.read_snapshot());
+}
+
 TEST(partition_log, only_entries_other_than_clock_advances_need_an_immediate_sync) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
