A truncated backup is compared with its primary: the state, not the log alone

Change: backups_remove_entries_that_the_primary_lost compares the numbers of subscriptions and topics of all three replicas once they have applied the same entries.

--- a/tools/simulator/copies_test.cpp
+++ b/tools/simulator/copies_test.cpp
@@ -135,6 +135,23 @@
   });
 }
 
+// Waits until the replicas on these nodes have applied the same entries. Returns whether they then have the same
+// numbers of subscriptions and topics.
+auto have_equal_states(fleet& cluster, const std::vector<std::string>& nodes) -> bool {
+  const auto field_values = [&](std::string_view field) {
+    auto values = std::set<std::int64_t>();
+    for (const auto& node : nodes) {
+      const auto status = cluster.processes.at(node)->storage->held_partition(partition_id)->status();
+      values.insert(get_value(status, field).to_number<std::int64_t>());
+    }
+    return values;
+  };
+  const auto deadline = cluster.network.clock + second;
+  while (field_values("applied").size() > 1 && cluster.network.clock < deadline)
+    cluster.network.run(cluster.network.clock + 100);
+  return field_values("applied").size() == 1 && field_values("open").size() == 1 && field_values("topics").size() == 1;
+}
+
 auto acknowledged_publishes(const fleet& cluster) -> std::int64_t {
   auto total = std::int64_t{0};
   for (const auto& [answer, count] : cluster.observed.counts)
@@ -387,6 +404,7 @@
       CHECK(get_bool(replica.value(), "joined"));
       LONGS_EQUAL(0, get_int(replica.value(), "copies"));
     }
+    CHECK(have_equal_states(cluster, members));
     const auto lines = recent_log();
     const auto removal = partition_id + ": removes the entries";
     truncations += lines.find(removal) != std::string::npos ? 1 : 0;
