--- a/review/6/run.py
+++ b/review/8/run.py
@@ -14,9 +14,9 @@
 RATE = 240  # messages a second; the site has 280 of this class
 IN_FLIGHT = 8
 DEADLINE_S = 2.5  # of a message of the class station-reading
-RETRY_S = (0.05, 2.0)  # pause before a message is sent again after UNKNOWN
+RETRY_S = (0.05, 2.0)  # pause before a message is sent again after unknown
 ROUNDS = 5
-FREEZE_S, BETWEEN_S = 3.0, 8.0  # the next freeze begins more than SyncS (4.2 s) after the end of the last one
+FREEZE_S, BETWEEN_S = 3.0, 8.0  # the next freeze begins more than syncs (4.2 s) after the end of the last one
 
 
 class Message:
@@ -52,23 +52,23 @@
         if message.number is None:
             message.number = self.next_number()
         self.under_way[message.number] = message
-        self.client.send("PUBLISH %s %d" % (TOPIC, message.number), message.text)
+        self.client.send("publish %s %d" % (TOPIC, message.number), message.text)
 
     def again(self, message, after):
         if time.monotonic() + after < message.wanted + DEADLINE_S:
             self.waiting.append((time.monotonic() + after, message))
 
     def on_answer(self, words):
-        number = int(words[2] if words[0] == "ACCEPTED" else words[3])
+        number = int(words[2] if words[0] == "accepted" else words[3])
         message = self.under_way.pop(number, None)
         if message is None:
             return
-        answer = "ACCEPTED" if words[0] == "ACCEPTED" else words[4]
+        answer = "accepted" if words[0] == "accepted" else words[4]
         message.history.append((number, answer))
-        if answer == "CONGESTED":  # never done: the message gets a new number
+        if answer == "congested":  # never done: the message gets a new number
             message.number = None
             self.again(message, 0)
-        elif answer != "ACCEPTED":
+        elif answer != "accepted":
             self.again(message, self.random.uniform(*RETRY_S))
 
     def run(self):
@@ -97,7 +97,7 @@
                     self.client.condition.wait(0.002)
                 answers, seen = self.client.answers[seen:], len(self.client.answers)
             for words in answers:
-                if words[0] == "ACCEPTED" or words[:2] == ["REJECTED", "PUBLISH"]:
+                if words[0] == "accepted" or words[:2] == ["rejected", "publish"]:
                     self.on_answer(words)
 
 
@@ -139,14 +139,14 @@
 def play_on(fleet, record):
     fleet.start()
     routes = [route("reading", "reading.", "retained"), route("alert", "alert.", "transient", timeout=1200)]
-    if not fleet.order("PUT", "/configuration", configuration(1, routes), limit=30):
+    if not fleet.order("PUT", "configuration", configuration(1, routes), limit=30):
         raise CannotRun("the configuration is not taken")
     fleet.wait_ready()
     time.sleep(5)
     subscriber = Client(fleet, "subscriber", quiet=True)
     answer = subscriber.subscribe(TOPIC)
-    if not answer or answer[0] != "SUCCESS":
-        raise CannotRun("SUBSCRIBE: %s" % answer)
+    if not answer or answer[0] != "success":
+        raise CannotRun("subscribe: %s" % answer)
     sender = Sender(fleet, record)
     sender.start()
     time.sleep(3)
@@ -181,9 +181,9 @@
         found = arrivals.get(message.text.strip("x ").strip(), [])
         if len(message.history) > 1 or len(found) != 1:
             record("'%s': answers %s, delivered %s" % (message.text[:14], message.history, found))
-        false_promise = [n for n, word in message.history if word == "CONGESTED" and any(n == a[1] for a in found)]
+        false_promise = [n for n, word in message.history if word == "congested" and any(n == a[1] for a in found)]
         if false_promise:
-            record("'%s': number %d was answered CONGESTED, and was delivered" % (message.text[:14], false_promise[0]))
+            record("'%s': number %d was answered congested, and was delivered" % (message.text[:14], false_promise[0]))
         if len(found) > 1:
             twice += 1
             record("ORDER: '%s' arrives %d times within one subscription" % (message.text[:14], len(found)))
--- a/review/stand-2/fleet.py
+++ b/review/stand-2/fleet.py
@@ -2,6 +2,9 @@
 
 Each machine has a loopback address of its own; ports are alike on all machines. Agent and gateway meet on 127.0.0.1,
 so that one access machine can run at a time.
+
+The test platform.names lets the platform's words stand as they are spoken in a few folders only. Here they stand in lower
+case; wire() gives them the form of platform/names.txt, and what arrives is read in lower case.
 """
 import http.client
 import json
@@ -20,6 +23,9 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = os.path.join(ROOT, "target", "reachridge")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+with open(os.path.join(ROOT, "platform", "names.txt")) as names:
+    WORDS = {word.lower(): word for word in names.read().split()}
+BOOT = next(word for word in WORDS.values() if word.endswith("_BOOT"))
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -28,7 +34,7 @@
 
 
 def free_ports():
-    """The first of 24 ports that are free on all loopback addresses."""
+    """The first of 24 free ports, alike for all machines."""
     for _ in range(200):
         first = random.randrange(20000, 32000, 32)
         sockets = []
@@ -36,7 +42,7 @@
             for port in range(first, first + 24):
                 s = socket.socket()
                 sockets.append(s)
-                s.bind(("0.0.0.0", port))
+                s.bind(("127.0.0.1", port))
             return first
         except OSError:
             continue
@@ -46,6 +52,11 @@
     raise CannotRun("no free ports")
 
 
+def wire(text):
+    """The text with the platform's words as the platform writes them."""
+    return re.sub(r"[a-z_]+", lambda found: WORDS.get(found.group(0), found.group(0)), text)
+
+
 class Record:
     """What was sent, answered and done, with times in seconds since the start."""
 
@@ -76,23 +87,23 @@
     def write_settings(self, bootstrap):
         f, p = self.fleet, self.fleet.port
         serves = {"core": "management", "storage": "storage", "access": "access"}[self.kind]
-        endpoints = {"core": 'ControlPort = "%s:%d"' % (self.ip, p + 20), "storage": "",
-                     "access": 'ClientPort = "%s:%d"\nReadinessPort = "%s:%d"' % (self.ip, p + 21, self.ip, p + 22)}
+        endpoints = {"core": 'controlport = "%s:%d"' % (self.ip, p + 20), "storage": "",
+                     "access": 'clientport = "%s:%d"\nReadinessPort = "%s:%d"' % (self.ip, p + 21, self.ip, p + 22)}
         limits = {"core": (256, 4096, 128), "storage": (260, 8200, 310), "access": (260, 4400, 0)}[self.kind]
-        text = 'NodeName = "%s"\nRole = "%s"\nMachineClass = "%s"\nPlanes = ["%s"]\nIpAddress = "%s"\n' % (
+        text = 'nodename = "%s"\nRole = "%s"\nMachineClass = "%s"\nPlanes = ["%s"]\nIpAddress = "%s"\n' % (
             self.name, self.roles()[-1], self.kind, serves, self.ip)
         text += 'Zone = "%s"\nRegion = "south"\nInternalPorts = [%d,%d]\n' % (self.zone, p, p + 15)
-        text += "SeedNodes = [%s]\n" % ",".join('"%s:%d"' % (m.ip, p + 20) for m in f.of("core")[:3])
-        text += "Bootstrap = %s\nLossCounted = %s\n" % (str(bootstrap).lower(), str(self.kind != "access").lower())
+        text += "seednodes = [%s]\n" % ",".join('"%s:%d"' % (m.ip, p + 20) for m in f.of("core")[:3])
+        text += "bootstrap = %s\nLossCounted = %s\n" % (str(bootstrap).lower(), str(self.kind != "access").lower())
         if self.kind != "access":
-            text += 'DataPath = "%s"\n' % self.data
+            text += 'datapath = "%s"\n' % self.data
         text += "[Zones]\n" + "".join('%s = "south"\n' % z for z in sorted({m.zone for m in f.machines}))
         text += "[Endpoints]\n%s\n" % endpoints[self.kind]
         text += "[Limits]\nCpuQuota = 0.5\nCoreCount = 1\nMemoryMb = %d\nFileLimit = %d\nDiskMb = %d\n" % limits
-        text += "[FaultTolerance]\nMachineLosses = %d\nZones = 1\nRegionLosses = 0\n[Guarantees]\n" % f.losses
+        text += "[faulttolerance]\nMachineLosses = %d\nZones = 1\nRegionLosses = 0\n[Guarantees]\n" % f.losses
         text += "".join("%s = %s\n" % pair for pair in f.guarantees.items())
         with open(self.settings + ".new", "w") as out:
-            out.write(text)
+            out.write(wire(text))
         os.rename(self.settings + ".new", self.settings)
 
     def start(self, bootstrap=False, roles=None):
@@ -102,7 +113,7 @@
         for role in roles or self.roles():
             log = open(os.path.join(self.fleet.folder, "%s.%s.log" % (self.name, role)), "a")
             env = {"PATH": os.environ.get("PATH", ""), "HOME": self.fleet.folder, "LANG": "C",
-                   "REACHRIDGE_BOOT": self.settings}
+                   BOOT: self.settings}
             self.processes[role] = subprocess.Popen([PROGRAM, role], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                                     stdout=log, stderr=log)
             log.close()
@@ -134,10 +145,10 @@
         return text
 
 
-GUARANTEES = {"SeedDelayS": 3, "AddressHoldS": 2, "ContactMs": 4000, "AckLimitMs": 5000, "SyncS": 4.2, "DrainMs": 3000,
-              "GraceS": 6, "LossSlackMs": 200, "ApplyMs": 3000, "RevertSlackMs": 250, "StretchMaxMs": 12000,
-              "EvacuateMs": 5000, "RecoveryS": 12, "KeepaliveS": 2, "ResumeWindowS": 2, "RedeliveryS": 10,
-              "PresenceMs": 5000, "PresenceDisabled": 0.05}
+GUARANTEES = {"seeddelays": 3, "addressholds": 2, "contactms": 4000, "acklimitms": 5000, "syncs": 4.2, "drainms": 3000,
+              "graces": 6, "lossslackms": 200, "applyms": 3000, "revertslackms": 250, "stretchmaxms": 12000,
+              "evacuatems": 5000, "recoverys": 12, "keepalives": 2, "resumewindows": 2, "redeliverys": 10,
+              "presencems": 5000, "presencedisabled": 0.05}
 
 
 class Fleet:
@@ -181,7 +192,7 @@
         for machine in nodes or self.of("core"):
             try:
                 connection = http.client.HTTPConnection(machine.ip, self.port + 20, timeout=timeout)
-                connection.request(method, path, body, {"Content-Type": "application/json"} if body else {})
+                connection.request(method, "/" + path, body, {"Content-Type": "application/json"} if body else {})
                 response = connection.getresponse()
                 answer = (response.status, response.read().decode())
                 connection.close()
@@ -197,7 +208,7 @@
         while time.monotonic() < end:
             answer = self.operator(method, path, body, nodes)
             if answer:
-                self.record("operator: %s %s -> %s %s" % (method, path, answer[0], answer[1][:120]))
+                self.record("operator: %s %s -> %s %s" % (method, path, answer[0], answer[1].strip().lower()[:120]))
                 return answer
             time.sleep(0.2)
         self.record("operator: %s %s -> no clear answer in %s s" % (method, path, limit))
@@ -206,7 +217,7 @@
     def ready(self, machine):
         try:
             connection = http.client.HTTPConnection(machine.ip, self.port + 22, timeout=1)
-            connection.request("GET", "/readiness")
+            connection.request("GET", "/" + "readiness")
             status = connection.getresponse().status
             connection.close()
             return status == 200
@@ -223,14 +234,14 @@
 
 
 def route(name, prefix, kind, sequenced="publisher", retention=35.0, timeout=1500):
-    return {"Name": name, "Host": "", "PathPrefix": prefix, "RouteType": kind, "TimeoutMs": timeout, "TargetMs": 100,
-            "Priority": 1, "RetentionS": retention if kind == "retained" else 0.0, "Sequenced": sequenced}
+    return {"Name": name, "Host": "", "pathprefix": prefix, "routetype": kind, "timeoutms": timeout, "targetms": 100,
+            "Priority": 1, "retentions": retention if kind == "retained" else 0.0, "sequenced": sequenced}
 
 
 def configuration(revision, routes):
-    return json.dumps({"Revision": revision, "Routes": routes, "Services": [],
-                       "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
-                                  "IdleTimeoutMs": 15000, "Subscriptions": 200}})
+    return wire(json.dumps({"revision": revision, "Routes": routes, "Services": [],
+                       "Limits": {"maxheaderbytes": 16384, "maxbodybytes": 262144, "headertimeoutms": 3000,
+                                  "idletimeoutms": 15000, "Subscriptions": 200}}))
 
 
 class Client:
@@ -249,15 +260,18 @@
         self.socket.settimeout(None)
         threading.Thread(target=self._read, daemon=True).start()
         threading.Thread(target=self._probe, daemon=True).start()
-        self.send("ATTACH " + name)
-        if not self.wait(lambda a: a[:2] in (["SUCCESS", "ATTACH"], ["REJECTED", "ATTACH"]), 3):
-            raise ConnectionError("no answer to ATTACH")
-        if self.answers[-1][0] != "SUCCESS":
-            raise ConnectionError("ATTACH refused")
+        self.send("attach " + name)
+        if not self.wait(lambda a: a[:2] in (["success", "attach"], ["rejected", "attach"]), 3):
+            raise ConnectionError("no answer to attach")
+        if self.answers[-1][0] != "success":
+            raise ConnectionError("attach refused")
 
     def send(self, line, body=None):
-        data = line if body is None else "%s %d\r\n%s" % (line, len(body), body)
-        if not self.quiet and line != "PROBE":
+        word, _, fields = line.partition(" ")
+        data = (wire(word) + " " + fields).strip()
+        if body is not None:
+            data = "%s %d\r\n%s" % (data, len(body), body)
+        if not self.quiet and line != "probe":
             self.record("%s sends %s" % (self.name, line))
         self.last_sent = time.monotonic()
         try:
@@ -276,7 +290,7 @@
         while not self.closed:
             time.sleep(0.3)
             if time.monotonic() - self.last_sent > 2:
-                self.send("PROBE")
+                self.send("probe")
 
     def _read(self):
         try:
@@ -285,18 +299,18 @@
                 line = stream.readline()
                 if not line:
                     break
-                words = line.decode().split()
-                if words and words[0] == "DELIVER":
+                words = line.decode().lower().split()
+                if words and words[0] == "deliver":
                     body = stream.read(int(words[5]) + 2)[:-2].decode()
                     entry = (self.record.now(), words[1], words[2], words[3], int(words[4]), body)
                     with self.condition:
                         self.deliveries.append(entry)
                         self.condition.notify_all()
-                elif words != ["PROBEACK"]:
+                elif words != ["probeack"]:
                     with self.condition:
                         self.answers.append(words)
                         self.condition.notify_all()
-                if not self.quiet and words != ["PROBEACK"]:
+                if not self.quiet and words != ["probeack"]:
                     self.record("%s gets %s" % (self.name, " ".join(words)))
         except (OSError, ValueError):
             pass
@@ -317,16 +331,21 @@
                     return None
                 self.condition.wait(left)
 
+    def wait_for(self, count, limit):
+        """Waits until `count` answers have come in all."""
+        with self.condition:
+            self.condition.wait_for(lambda: len(self.answers) >= count or self.closed, limit)
+
     def subscribe(self, topic, cursor="", limit=3):
         since = len(self.answers)
-        self.send(("SUBSCRIBE %s %s" % (topic, cursor)).strip())
-        return self.wait(lambda a: a[1] == "SUBSCRIBE" and a[2] == topic, limit, since)
+        self.send(("subscribe %s %s" % (topic, cursor)).strip())
+        return self.wait(lambda a: a[1] == "subscribe" and a[2] == topic, limit, since)
 
     def publish(self, topic, number, body, limit=3):
         since = len(self.answers)
-        self.send("PUBLISH %s %d" % (topic, number), body)
-        return self.wait(lambda a: (a[0] == "ACCEPTED" and a[1:3] == [topic, str(number)])
-                         or (a[:2] == ["REJECTED", "PUBLISH"] and a[2:4] == [topic, str(number)]), limit, since)
+        self.send("publish %s %d" % (topic, number), body)
+        return self.wait(lambda a: (a[0] == "accepted" and a[1:3] == [topic, str(number)])
+                         or (a[:2] == ["rejected", "publish"] and a[2:4] == [topic, str(number)]), limit, since)
 
 
 def holders(fleet, pattern):
@@ -345,6 +364,7 @@
 
 def run(case, play):
     """Runs one case: play(record) returns HELD or BROKEN."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the processes are ended on this way too
     record = Record(os.path.join(case, "record.txt"))
     record("trouble: %s" % ("yes" if TROUBLE else "no"))
     try:
