--- a/src/cluster/control_session.cpp
+++ b/src/cluster/control_session.cpp
@@ -4,6 +4,7 @@
 #include <boost/crc.hpp>
 
 #include "cluster/session_codec.hpp"
+#include "runtime/log.hpp"
 
 namespace reachridge {
 
@@ -41,6 +42,7 @@
     const auto answered = co_await send_heartbeat(sent_at);
     if (answered && closed)
       break;
+    report_lease();
     if (should_leave_endpoint())
       leave_endpoint();
     if (!peer_)
@@ -52,6 +54,19 @@
   }
 }
 
+// Logs when the node has obtained or lost its lease, since without one it does not serve.
+auto control_session::report_lease() -> void {
+  if (has_lease() == lease_reported_)
+    return;
+  lease_reported_ = has_lease();
+  if (lease_reported_)
+    log(log_level::info, settings_.name, "obtained a lease from " + endpoint());
+  else
+    log(log_level::warning, settings_.name,
+        "has no lease and does not serve; extended last " +
+            std::to_string((host_.now() - lease_extended_at_) / millisecond) + " ms ago; asks " + endpoint());
+}
+
 // A control node delays its answer while it has no updates. After a fast answer the session pauses briefly, so that the
 // next heartbeat collects several updates.
 auto control_session::pause_after(monotonic_time sent_at) const -> monotonic_time {
--- a/src/cluster/control_session.hpp
+++ b/src/cluster/control_session.hpp
@@ -80,6 +80,7 @@
 
  private:
   auto run() -> task<void>;
+  auto report_lease() -> void;
   auto connect() -> void;
   auto disconnect() -> void;
   auto use_endpoint(std::size_t index) -> void;
@@ -117,6 +118,7 @@
   std::int64_t required_partitions_version_ = 0;
   version_deadlines deadlines_;
   bool lease_received_ = false;  // whether any lease was granted since the start
+  bool lease_reported_ = false;  // whether the last report in the log said that the node has a lease
   array placement_requests_;
 
   signal connection_changed_;  // woken when the connection is established or lost, or the peer process is gone
--- a/src/raft/bootstrap.cpp
+++ b/src/raft/bootstrap.cpp
@@ -1,6 +1,7 @@
 // Startup of a replica that is not a voter: it creates a new log together with the other seeds, or joins the existing
 // log (design 4.5).
 #include <algorithm>
+#include <utility>
 
 #include "raft/consensus.hpp"
 #include "runtime/log.hpp"
@@ -42,10 +43,24 @@
     co_await bootstrap_log(std::move(survey.responders));
   else if (!all_blank)
     co_await join(survey.contact_address);
+  else
+    report_missing_log(survey);
   if (!may_vote())
     co_await sleep_for(host_, host_.jittered(settings_.heartbeat_interval));
 }
 
+// Logs once that no peer belongs to a log that this replica could join, and why it does not create one.
+auto consensus::report_missing_log(const peer_survey& survey) -> void {
+  if (std::exchange(missing_log_reported_, true))
+    return;
+  auto text = std::string("waits for a replicated log: this control node may ");
+  text += settings_.may_bootstrap ? "create one once all seeds reply" : "not create one";
+  text += ", replies from:";
+  for (const auto& responder : survey.responders)
+    text += " " + responder.address;
+  reachridge::log(log_level::info, settings_.name, text);
+}
+
 // Asks every peer for its view of the log. Peers that do not reply are left out. `responders` is the initial content of
 // the list of responders.
 auto consensus::survey_peers(std::vector<voter> responders) -> task<peer_survey> {
@@ -77,15 +92,18 @@
 
 // Sends join requests to `contact_address` until this replica is a voter, the process shuts down, or a request fails
 // with an error other than `catching_up` or `busy`. A retry does not start over: the replica keeps the entries that it
-// received as a learner.
+// received as a learner. An error that repeats is logged once.
 auto consensus::join(std::string contact_address) -> task<void> {
   while (!shutting_down_) {
     try {
       auto message = encode(join_request{local_voter_, log_.log_id()});
       co_await peer(contact_address).call(std::move(message), host_.now() + settings_.failure_timeout * join_timeouts);
+      reported_join_error_.clear();
       co_return;
     } catch (const request_error& error) {
-      reachridge::log(log_level::info, settings_.name, std::string("join request failed: ") + error.what());
+      auto is_repeated = std::exchange(reported_join_error_, error.what()) == error.what();
+      if (!is_repeated)
+        reachridge::log(log_level::info, settings_.name, std::string("join request failed: ") + error.what());
       auto may_succeed = error.code == errc::catching_up || error.code == errc::busy;
       if (!may_succeed || log_.failed())
         co_return;
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -41,6 +41,8 @@
   };
   auto restored = log_.load(host_.random());
   local_voter_ = {node_settings.address, log_.disk_id};
+  start_leaderless_period();
+  log_loaded_state();
   if (restored) {
     if (!restored->state.is_null())
       state_machine_.restore(restored->state);
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -121,6 +121,8 @@
   }
   auto become_follower(term_number new_term, const std::string& new_leader) -> void;
   auto clear_leader_state() -> void;
+  auto start_leaderless_period() -> void;
+  auto report_lost_pre_vote(const vote_tally& tally) -> void;
   auto become_leader() -> void;
   auto accept_leader(term_number leader_term, const std::string& leader, const char* message) -> void;
   auto run_current_role() -> task<void>;
@@ -205,6 +207,7 @@
   struct peer_survey;
   auto describe_peer(std::string address, describe_request request) -> task<describe_reply>;
   auto bootstrap_or_join() -> task<void>;
+  auto report_missing_log(const peer_survey& survey) -> void;
   auto survey_peers(std::vector<voter> responders) -> task<peer_survey>;
   auto bootstrap_log(std::vector<voter> initial_voters) -> task<void>;
   auto join(std::string contact_address) -> task<void>;
@@ -220,6 +223,7 @@
   [[nodiscard]] auto voter_statuses() const -> std::vector<voter_status>;
   [[nodiscard]] auto status_of(const voter& member, const char* membership_state) const -> voter_status;
   [[nodiscard]] auto role_name() const -> const char*;
+  auto log_loaded_state() const -> void;
 
   host& host_;
   settings settings_;
@@ -233,6 +237,8 @@
   log_index applied_index_;
   monotonic_time last_leader_contact_ = -never;
   monotonic_time leader_since_ = 0;
+  monotonic_time leaderless_since_;                 // start of the current or the last period without a known leader
+  monotonic_time leaderless_report_delay_;          // from that start until the next report in the log
   monotonic_time leader_process_gone_at_ = -never;  // last time the leader's process was found to have exited
   log_index term_start_index_;                      // index of the first entry that this leader appended in its term
   std::map<voter, follower_progress> progress_;     // maintained only on the leader
@@ -242,11 +248,13 @@
   std::weak_ptr<const snapshot_image> cached_image_;
   snapshot_assembly incoming_snapshot_;
   signal replication_needed_, commit_advanced_, reply_received_, leader_lost_;
-  bool shutting_down_ = false;       // the process is shutting down, so this replica starts no more elections
-  bool transferring_ = false;        // this leader has asked a follower to take over (see transfer_leadership)
-  bool election_requested_ = false;  // the leader has asked this replica to start an election
-  bool rejoining_ = false;           // rejoin() is in progress
-  bool has_campaigned_ = false;      // this process has started an election before
+  bool shutting_down_ = false;         // the process is shutting down, so this replica starts no more elections
+  bool transferring_ = false;          // this leader has asked a follower to take over (see transfer_leadership)
+  bool election_requested_ = false;    // the leader has asked this replica to start an election
+  bool rejoining_ = false;             // rejoin() is in progress
+  bool has_campaigned_ = false;        // this process has started an election before
+  bool missing_log_reported_ = false;  // report_missing_log() has written its line
+  std::string reported_join_error_;    // the last error of a join request that was logged
   task_group tasks_;
 };
 
--- a/src/raft/election.cpp
+++ b/src/raft/election.cpp
@@ -9,9 +9,10 @@
 namespace {
 
 // Durations in failure timeouts.
-constexpr auto removal_timeouts = 5;       // the leader removes a voter that has not replied for this time
-constexpr auto even_removal_timeouts = 1;  // the same if the number of voters is even
-constexpr auto rejoin_timeouts = 2;        // a voter without a leader for this time checks whether it was removed
+constexpr auto removal_timeouts = 5;            // the leader removes a voter that has not replied for this time
+constexpr auto even_removal_timeouts = 1;       // the same if the number of voters is even
+constexpr auto rejoin_timeouts = 2;             // a voter without a leader for this time checks whether it was removed
+constexpr auto leaderless_report_timeouts = 2;  // a voter without a leader for this time logs which voters it lacks
 
 }  // namespace
 
@@ -26,6 +27,8 @@
   }
   role_ = replica_role::follower;
   auto leader_has_changed = leader_address_ != new_leader || was_leader;
+  if (leader_has_changed && new_leader.empty())
+    start_leaderless_period();
   leader_address_ = new_leader;
   if (was_leader)
     clear_leader_state();
@@ -163,6 +166,24 @@
   }
 }
 
+auto consensus::start_leaderless_period() -> void {
+  leaderless_since_ = host_.now();
+  leaderless_report_delay_ = settings_.failure_timeout * leaderless_report_timeouts;
+}
+
+// Logs which voters this replica lacks for an election, if no leader has been known for long enough. Each report of one
+// leaderless period comes after twice the time of the one before.
+auto consensus::report_lost_pre_vote(const vote_tally& tally) -> void {
+  auto leaderless_for = host_.now() - leaderless_since_;
+  if (leaderless_for < leaderless_report_delay_)
+    return;
+  leaderless_report_delay_ = 2 * leaderless_for;
+  reachridge::log(log_level::warning, settings_.name,
+                  "no leader of the replicated log for " + std::to_string(leaderless_for / millisecond) +
+                      " ms: pre-vote in term " + to_string(log_.term + 1) + " at entry " + to_string(log_.last()) +
+                      ", voters: " + tally.to_text(log_.members().all()));
+}
+
 auto consensus::election_due() const -> bool {
   if (is_leader() || host_.now() - last_leader_contact_ < election_timeout_)
     return false;
@@ -217,7 +238,7 @@
 // Sends a vote request to every other voter. The returned tally collects the replies.
 auto consensus::request_votes(election_round round, term_number election_term) -> std::shared_ptr<vote_tally> {
   auto tally = std::make_shared<vote_tally>();
-  tally->add_vote(local_voter_);
+  tally->record(local_voter_, vote_outcome::granted);
   auto is_pre_vote = round == election_round::pre_vote;
   auto last_term = log_.term_at(log_.last());
   auto request = encode(
@@ -239,7 +260,9 @@
       become_follower(reply.term, "");
     // A reply from a different disk at the address is not a vote of that voter: the voter has lost its disk.
     if (reply.granted && reply.disk_id == from.disk_id)
-      tally->add_vote(from);
+      tally->record(from, vote_outcome::granted);
+    else
+      tally->record(from, reply.disk_id == from.disk_id ? vote_outcome::rejected : vote_outcome::different_disk);
   } catch (const request_error&) {
   }
   tally->finish_request();
@@ -270,6 +293,8 @@
     co_return true;
   if (round == election_round::vote)
     role_ = replica_role::follower;
+  else
+    report_lost_pre_vote(*tally);
   co_return false;
 }
 
--- a/src/raft/status.cpp
+++ b/src/raft/status.cpp
@@ -1,5 +1,6 @@
 // The status of the replicated log for the /status page.
 #include "raft/consensus.hpp"
+#include "runtime/log.hpp"
 
 namespace reachridge {
 
@@ -35,6 +36,19 @@
   return statuses;
 }
 
+// Logs what this replica has found on its disk at its start.
+auto consensus::log_loaded_state() const -> void {
+  auto text = "disk " + local_voter_.disk_id + ": ";
+  if (log_.members().empty()) {
+    text += "no replicated log yet, not a voter";
+  } else {
+    text += "replicated log up to entry " + to_string(log_.last()) + " of term " + to_string(log_.term_at(log_.last()));
+    text += ", term " + to_string(log_.term) + ", " + (may_vote() ? "one" : "not one") + " of " +
+            std::to_string(voters().size()) + " voters";
+  }
+  reachridge::log(log_level::info, settings_.name, text);
+}
+
 auto consensus::status() const -> value {
   auto report = raft_status();
   report.role = role_name();
