--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -63,7 +63,7 @@
         host_,
         peer_connection::options{settings_.name, address, settings_.heartbeat_interval, settings_.failure_timeout});
     connection->on_process_gone = [this, address] {
-      on_leader_process_gone(address);
+      on_process_gone(address);
     };
   }
   return *connection;
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -138,6 +139,7 @@
   auto request_vote(voter from, value request, std::shared_ptr<vote_tally> tally) -> task<void>;
   auto campaign_on_transfer() -> task<void>;
   auto send_timeout_now(voter successor) -> task<bool>;
+  auto on_process_gone(const std::string& address) -> void;
   auto on_leader_process_gone(const std::string& address) -> void;
   auto on_vote_request(vote_request request) -> task<vote_reply>;
   auto on_timeout_now(timeout_now_request request) -> acknowledgement;
@@ -145,6 +147,7 @@
   // Replication (replication.cpp).
   [[nodiscard]] auto progress_of(const voter& follower) const -> const follower_progress*;
   [[nodiscard]] auto last_majority_contact() const -> monotonic_time;
+  [[nodiscard]] auto has_majority_contact() const -> bool;
   [[nodiscard]] auto leads_follower(const voter& follower, term_number leader_term) const -> bool;
   auto start_replication(const voter& follower) -> void;
   auto replicate(voter follower, term_number leader_term) -> task<void>;
@@ -177,6 +180,7 @@
   [[nodiscard]] auto is_voter_address(const std::string& address) const -> bool;
   // Returns the addresses of all voters and seeds except this replica.
   [[nodiscard]] auto peer_addresses() const -> std::vector<std::string>;
+  [[nodiscard]] auto last_contact_of(const voter& member) const -> monotonic_time;
   // Returns the voters that have not replied to this leader for more than `duration`, the longest unresponsive first.
   [[nodiscard]] auto unresponsive_voters(monotonic_time duration) const -> std::vector<voter>;
   [[nodiscard]] auto change_pending() const -> bool;
@@ -188,6 +192,11 @@
   // majority of them remains.
   [[nodiscard]] auto min_voters() const -> std::size_t;
   [[nodiscard]] auto voters_without(const voter& target) const -> std::vector<voter>;
+  [[nodiscard]] auto process_has_exited(const voter& member) const -> bool;
+  [[nodiscard]] auto lost_voter_of_even_list() const -> std::optional<voter>;
+  [[nodiscard]] auto lost_voter() const -> std::optional<voter>;
+  // Starts the removal of lost_voter(). Returns false if there is none.
+  auto remove_lost_voter() -> bool;
   auto remove_voter(voter target) -> task<void>;
   auto wait_for_replies(std::vector<voter> list, monotonic_time deadline) -> task<bool>;
   auto check_voter_may_leave() const -> void;
--- a/src/raft/election.cpp
+++ b/src/raft/election.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 // Durations in failure timeouts.
-constexpr auto removal_timeouts = 5;            // the leader removes a voter that has not replied for this time
-constexpr auto even_removal_timeouts = 1;       // the same if the number of voters is even
 constexpr auto rejoin_timeouts = 2;             // a voter without a leader for this time checks whether it was removed
 constexpr auto leaderless_report_timeouts = 2;  // a voter without a leader for this time logs which voters it lacks
 
@@ -85,8 +83,16 @@
 }
 
 // Called when the connection to the process at `address` was closed and the address refuses new connections, which
-// means that the process has exited. If the process was the leader, this replica no longer has to reject other
-// candidates to protect that leader (design 4.4).
+// means that the process has exited.
+auto consensus::on_process_gone(const std::string& address) -> void {
+  if (is_leader())
+    remove_lost_voter();
+  else
+    on_leader_process_gone(address);
+}
+
+// If the process was the leader, this replica no longer has to reject other candidates to protect that leader
+// (design 4.4).
 auto consensus::on_leader_process_gone(const std::string& address) -> void {
   if (role_ != replica_role::follower || leader_address_ != address)
     return;
@@ -97,28 +103,21 @@
   leader_lost_.wake();
 }
 
-// Waits for one heartbeat interval. Then steps down if no majority has replied within the election timeout; otherwise
-// drops unresponsive learners and removes an unresponsive voter.
+// Waits for one heartbeat interval. Then drops unresponsive learners, and removes a lost voter or steps down if no
+// majority has replied within the election timeout. The removal comes first: without the lost voter, those that reply
+// may be a majority. If they are not, the leader steps down after the next interval.
 auto consensus::run_leader_interval() -> task<void> {
   co_await sleep_for(host_, settings_.heartbeat_interval);
   if (!is_leader())
     co_return;
-  if (host_.now() - last_majority_contact() > election_timeout_) {
-    reachridge::log(log_level::warning, settings_.name,
-                    "stepping down: no majority of the voters has replied within the election timeout");
-    become_follower(log_.term, "");
-    last_leader_contact_ = host_.now();
-    co_return;
-  }
   remove_unresponsive_learners();
-  // A voter that is lost for good must not raise the size of the majority forever. The last min_voters() voters stay
-  // even if they are unresponsive. An even list is shortened soon: it tolerates no more losses than the list without
-  // the unresponsive voter, and with that voter one loss fewer.
-  auto patience = voters().size() % 2 == 0 ? even_removal_timeouts : removal_timeouts;
-  auto unresponsive = unresponsive_voters(settings_.failure_timeout * patience);
-  auto may_remove = leadership_established() && !change_pending() && voters().size() > min_voters();
-  if (may_remove && !unresponsive.empty())
-    tasks_.spawn(remove_voter(unresponsive.front()));
+  auto removal_started = remove_lost_voter();
+  if (removal_started || has_majority_contact())
+    co_return;
+  reachridge::log(log_level::warning, settings_.name,
+                  "stepping down: no majority of the voters has replied within the election timeout");
+  become_follower(log_.term, "");
+  last_leader_contact_ = host_.now();
 }
 
 // Returns a random duration below `limit`.
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -10,11 +10,13 @@
 namespace {
 
 // Durations in failure timeouts.
-constexpr auto replacement_timeouts = 2;  // a joining voter may replace a voter that has not replied for this time
-constexpr auto learner_timeouts = 4;      // the leader drops a learner that has not replied for this time
-constexpr auto join_timeouts = 3;         // timeout of a join request that is forwarded to the leader
-constexpr auto leave_timeouts = 2;        // timeout of a leave request
-constexpr auto leaderless_timeouts = 4;   // a voter that shuts down waits this long for a leader that can remove it
+constexpr auto removal_timeouts = 5;       // the leader removes a voter that has not replied for this time
+constexpr auto even_removal_timeouts = 1;  // the same if the number of voters is even
+constexpr auto replacement_timeouts = 2;   // a joining voter may replace a voter that has not replied for this time
+constexpr auto learner_timeouts = 4;       // the leader drops a learner that has not replied for this time
+constexpr auto join_timeouts = 3;          // timeout of a join request that is forwarded to the leader
+constexpr auto leave_timeouts = 2;         // timeout of a leave request
+constexpr auto leaderless_timeouts = 4;    // a voter that shuts down waits this long for a leader that can remove it
 
 // Returns the number of voters that are in exactly one of the two lists.
 auto count_differences(const std::vector<voter>& left, const std::vector<voter>& right) -> std::size_t {
@@ -52,11 +54,14 @@
   return addresses;
 }
 
+// Returns the time of the last reply of `member`; for this replica, and for a voter to which replication has not
+// started yet, the current time.
+auto consensus::last_contact_of(const voter& member) const -> monotonic_time {
+  const auto* progress = progress_of(member);
+  return member == local_voter_ || !progress ? host_.now() : progress->last_contact;
+}
+
 auto consensus::unresponsive_voters(monotonic_time duration) const -> std::vector<voter> {
-  auto last_contact_of = [&](const voter& member) {
-    const auto* progress = progress_of(member);
-    return member == local_voter_ || !progress ? host_.now() : progress->last_contact;
-  };
   auto unresponsive = std::vector<voter>();
   for (const auto& member : voters())
     if (host_.now() - last_contact_of(member) > duration)
@@ -131,10 +136,57 @@
   return remaining;
 }
 
-// Removes a voter that has been unresponsive for too long. A failure is logged; the leader tries again later.
+// Returns whether the process at the voter's address is known to have exited: the address refuses connections.
+auto consensus::process_has_exited(const voter& member) const -> bool {
+  auto found = connections_.find(member.address);
+  return found != connections_.end() && !found->second->is_up() && found->second->refused_at() != -never;
+}
+
+// Returns the voter by which the leader shortens an even list, if any. While a lost voter stays in an even list, the
+// log tolerates one further loss fewer than without it, so the leader does not wait long: a voter whose process has
+// exited is removed immediately, a silent one after one failure timeout. If half of the list is silent, the leader
+// removes one voter instead of stepping down, because the other half could never elect a leader if the silent ones are
+// lost for good.
+auto consensus::lost_voter_of_even_list() const -> std::optional<voter> {
+  for (const auto& member : voters())
+    if (member != local_voter_ && process_has_exited(member))
+      return member;
+  if (!has_majority_contact()) {
+    auto silent = unresponsive_voters(election_timeout_);
+    auto others_are_majority = 2 * silent.size() <= voters().size();
+    return others_are_majority ? std::optional(silent.front()) : std::nullopt;
+  }
+  auto silent = unresponsive_voters(settings_.failure_timeout * even_removal_timeouts);
+  return silent.empty() ? std::nullopt : std::optional(silent.front());
+}
+
+// Returns the voter that the leader removes now, if any. A voter that is lost for good must not raise the size of the
+// majority forever. The last min_voters() voters stay even if they are unresponsive.
+auto consensus::lost_voter() const -> std::optional<voter> {
+  auto may_change = leadership_established() && !transferring_ && !change_pending();
+  if (!may_change || voters().size() <= min_voters())
+    return {};
+  if (voters().size() % 2 == 0)
+    return lost_voter_of_even_list();
+  if (!has_majority_contact())
+    return {};
+  auto unresponsive = unresponsive_voters(settings_.failure_timeout * removal_timeouts);
+  return unresponsive.empty() ? std::nullopt : std::optional(unresponsive.front());
+}
+
+auto consensus::remove_lost_voter() -> bool {
+  auto lost = lost_voter();
+  if (lost)
+    tasks_.spawn(remove_voter(*lost));
+  return lost.has_value();
+}
+
+// Removes a lost voter. A failure is logged; the leader tries again later.
 auto consensus::remove_voter(voter target) -> task<void> {
-  reachridge::log(log_level::warning, settings_.name,
-                  "removing voter " + target.address + ": it has not replied for too long");
+  auto silent_ms = (host_.now() - last_contact_of(target)) / millisecond;
+  auto reason = process_has_exited(target) ? std::string("its process has exited")
+                                           : "it has not replied for " + std::to_string(silent_ms) + " ms";
+  reachridge::log(log_level::warning, settings_.name, "removing voter " + target.address + ": " + reason);
   auto remaining = voters_without(target);
   try {
     co_await change_voters(std::move(remaining), host_.now() + settings_.failure_timeout);
--- a/src/raft/replication.cpp
+++ b/src/raft/replication.cpp
@@ -57,6 +57,11 @@
   return log_.members().majority_value(last_contact_of, -never);
 }
 
+// Returns whether a majority has replied to this leader within the election timeout.
+auto consensus::has_majority_contact() const -> bool {
+  return host_.now() - last_majority_contact() <= election_timeout_;
+}
+
 auto consensus::last_quorum_contact() const -> monotonic_time {
   return transferring_ ? -never : last_majority_contact();
 }
--- a/src/raft/test_fleet.hpp
+++ b/src/raft/test_fleet.hpp
@@ -129,4 +129,36 @@
   return cluster.network.clock - started_at;
 }
 
+// Starts the control nodes and then one more at a new address, and waits until it no longer counts as lost; it has
+// become a voter by then. Returns its name.
+inline auto start_with_newcomer(fleet& cluster) -> std::string {
+  constexpr auto newcomer_time = 4 * second;
+  start_all(cluster);
+  auto newcomer = cluster.add_control_node();
+  cluster.start(newcomer);
+  run_for(cluster, newcomer_time);
+  return newcomer;
+}
+inline auto lose_disk_and_restart(fleet& cluster, const std::string& name) -> void {
+  constexpr auto downtime = 1 * second;
+  cluster.kill(name);
+  cluster.lose_disk(name);
+  run_for(cluster, downtime);
+  cluster.start(name);
+}
+// Returns whether the log acknowledges a command within `limit`.
+inline auto serves_again(fleet& cluster, const std::string& command, monotonic_time limit) -> bool {
+  constexpr auto answer_limit = 500 * millisecond;
+  auto deadline = cluster.network.clock + limit;
+  while (cluster.network.clock < deadline) {
+    auto answer = propose(cluster, drain_command(command));
+    auto took = run_until(cluster, answer_limit, [&] {
+      return *answer == "{\"ok\":true}";
+    });
+    if (took < answer_limit)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace reachridge::raft_tests
