--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -136,10 +136,15 @@
     pending_reply_ptr reply_to;
     client_reply reply;
   };
+  // The refusal of a subscription from a position above `last_position`, the last one that was assigned.
+  struct position_refusal {
+    std::string subscription_id;
+    message_position last_position;
+  };
   // An output that is sent after the entry at log_index is durable on all in-sync replicas; monostate: send nothing.
   struct pending_output {
     std::int64_t log_index;
-    std::variant<std::monostate, output, deferred_reply> action;
+    std::variant<std::monostate, output, deferred_reply, position_refusal> action;
   };
   // Identifies a publish by its client, topic and sequence number.
   using publish_key = std::pair<std::string, std::pair<std::string, sequence_number>>;
@@ -182,6 +187,9 @@
   auto send_output(message_position log_index, const message_delivery& delivery) -> void;
   auto send_output(message_position log_index, const subscription_opened& opened) -> void;
   auto send_output(message_position log_index, const resume_expired& expired) -> void;
+  // Refuses the subscription and forgets its gateway.
+  auto send_refusal(message_position log_index, const std::string& subscription_id, subscribe_result reason,
+                    message_position position) -> void;
   [[nodiscard]] auto find_subscriber(const std::string& subscription_id, message_position log_index)
       -> std::map<std::string, subscriber>::iterator;
   [[nodiscard]] auto not_primary_error() const -> request_error;
@@ -196,6 +204,7 @@
   auto answer_duplicate(const publish_request& request, pending_reply_ptr reply) -> void;
   auto append_publish(const publish_request& request) -> void;
   auto reply_when_replicated(pending_reply_ptr reply_to, client_reply reply) -> void;
+  auto refuse_position(const std::string& subscription_id) -> void;
   // Whether the subscription already has a later opening, or the same opening on the same connection.
   [[nodiscard]] auto is_outdated(const subscribe_request& request, const connection_ptr& gateway) const -> bool;
 
--- a/src/storage/partition_requests.cpp
+++ b/src/storage/partition_requests.cpp
@@ -46,6 +46,9 @@
     deferred->reply_to->succeed(std::move(deferred->reply));
     return;
   }
+  if (const auto* refusal = std::get_if<position_refusal>(&pending.action))
+    return send_refusal(pending.log_index, refusal->subscription_id, subscribe_result::ahead_of_log,
+                        refusal->last_position);
   if (const auto* ready_output = std::get_if<output>(&pending.action))
     std::visit(
         [&](const auto& typed_output) {
@@ -98,11 +101,15 @@
 }
 
 auto partition::send_output(message_position log_index, const resume_expired& expired) -> void {
-  auto it = find_subscriber(expired.subscription_id, log_index);
+  send_refusal(log_index, expired.subscription_id, subscribe_result::expired, expired.expired_position);
+}
+
+auto partition::send_refusal(message_position log_index, const std::string& subscription_id, subscribe_result reason,
+                             message_position position) -> void {
+  auto it = find_subscriber(subscription_id, log_index);
   if (it == subscribers_.end())
     return;
-  it->second.connection->send(encode(subscribe_reply{expired.subscription_id, it->second.opening,
-                                                     subscribe_result::expired, expired.expired_position}));
+  it->second.connection->send(encode(subscribe_reply{subscription_id, it->second.opening, reason, position}));
   subscribers_.erase(it);
 }
 
@@ -253,17 +260,25 @@
     gateway->send(encode(subscribe_reply{subscription_id, opening, subscribe_result::not_led_here, 0}));
     return;
   }
-  if (request.after > applied_index_) {
-    gateway->send(encode(subscribe_reply{subscription_id, opening, subscribe_result::ahead_of_log, applied_index_}));
-    return;
-  }
   if (is_outdated(request, gateway))
     return;
   subscribers_[subscription_id] = {gateway, last_index() + 1, opening};
   disconnected_since_.erase(subscription_id);
+  if (request.after > applied_index_)
+    return refuse_position(subscription_id);
   append_operation({subscribe_entry{subscription_id, request.topic, request.subscriber, request.after}});
 }
 
+// Refuses a subscription from a position above the log. The refusal is final for the client, and the successor of a
+// primary that was replaced without knowing it may have assigned the position. Therefore the refusal is an output of an
+// entry of its own, which the in-sync replicas acknowledge only while this node is the primary.
+auto partition::refuse_position(const std::string& subscription_id) -> void {
+  auto last_position = applied_index_;
+  append_operation({close_subscription_entry{subscription_id}});
+  pending_outputs_.push_back({applied_index_, position_refusal{subscription_id, last_position}});
+  release_outputs();
+}
+
 // A gateway may retry a subscribe request on the same connection while the reply waits for its entry to become durable.
 // The retry is ignored, because the reply is still sent. Logging the retry would delay the reply each time, without end
 // on slow disks. A request of an earlier opening is also outdated: it was delayed on an abandoned connection. A gateway
