--- a/src/storage/partition_state.cpp
+++ b/src/storage/partition_state.cpp
@@ -26,7 +26,8 @@
     runs.rbegin()->second = sequence;
   else
     runs[sequence] = sequence;
-  // A number whose run is removed is classified as `below_highest`, so it is never accepted again.
+  // A number whose run is removed is never accepted again: it is a duplicate as long as the message is held, and
+  // `below_highest` after that.
   while (runs.size() > max_sequence_runs)
     runs.erase(runs.begin());
 }
@@ -36,7 +37,22 @@
   auto it = accepted_sequences.find({client, topic});
   if (it == accepted_sequences.end() || sequence > it->second.highest)
     return sequence_status::above_highest;
-  return it->second.contains(sequence) ? sequence_status::duplicate : sequence_status::below_highest;
+  auto is_accepted = it->second.contains(sequence) || holds_message(client, topic, sequence);
+  return is_accepted ? sequence_status::duplicate : sequence_status::below_highest;
+}
+
+// Every accepted message is held for at least the resend window, so that a number whose run was removed is still known
+// for that time. The sequence numbers of one client increase with the position.
+auto partition_state::holds_message(const std::string& client, const std::string& topic, sequence_number sequence) const
+    -> bool {
+  auto found = topics.find(topic);
+  if (found == topics.end())
+    return false;
+  const auto& messages = found->second.messages;
+  auto not_above = std::find_if(messages.rbegin(), messages.rend(), [&](const message& held) {
+    return held.sender == client && held.sequence <= sequence;
+  });
+  return not_above != messages.rend() && not_above->sequence == sequence;
 }
 
 auto partition_state::apply(message_position position, const log_entry& entry) -> std::vector<output> {
--- a/src/storage/partition_state.hpp
+++ b/src/storage/partition_state.hpp
@@ -129,6 +129,8 @@
   auto apply_entry(message_position position, const go_live_entry& entry) -> std::vector<output>;
   auto apply_entry(message_position position, const unrecognized_entry& entry) -> std::vector<output>;
 
+  [[nodiscard]] auto holds_message(const std::string& client, const std::string& topic, sequence_number sequence) const
+      -> bool;
   // The highest position whose message a subscription to this topic can no longer receive.
   [[nodiscard]] auto expired_up_to(const topic_state& topic) const -> message_position;
   // The time for which the state keeps the sequence numbers of a client and a topic without messages and subscriptions.
--- a/src/storage/partition_state_test.cpp
+++ b/src/storage/partition_state_test.cpp
@@ -48,6 +48,42 @@
 
 TEST_GROUP(partition_state_entries){};
 
+// Guards against a message that is delivered twice: its accepted number was called too low for ever after 256 further
+// numbers that did not follow each other, and the client sent the message again under a new number.
+TEST(partition_state_entries, an_accepted_number_is_known_for_the_resend_window_whatever_comes_after_it) {
+  constexpr auto later_numbers = 5000;
+  constexpr auto step_ms = 2;
+  for (auto retention_ms : {0, pool_retention_ms}) {
+    auto state = partition_state();
+    state.retention_ms = retention_ms;
+    auto position = 0;
+    // Two clients use two topics in turn, so that no two accepted numbers of a client and a topic follow each other.
+    for (auto number = 1; number <= later_numbers; ++number)
+      for (const auto* client : {"c", "d"}) {
+        state.apply(++position, elapse(step_ms / 2));
+        state.apply(++position, publish(client, number, number % 2 ? topic : other_topic));
+      }
+    constexpr auto numbers_in_window = 10000 / step_ms;
+    for (auto number = later_numbers - numbers_in_window + 1; number <= later_numbers; ++number) {
+      const auto* used_topic = number % 2 ? topic : other_topic;
+      const auto* unused_topic = number % 2 ? other_topic : topic;
+      CHECK(state.check_sequence("c", used_topic, number) == sequence_status::duplicate);
+      if (number < later_numbers - 1)
+        CHECK(state.check_sequence("c", unused_topic, number) == sequence_status::below_highest);
+    }
+  }
+}
+// After the resend window, and after its message has expired, a number may be called too low, but is never accepted.
+TEST(partition_state_entries, an_accepted_number_is_not_accepted_again_after_the_resend_window) {
+  auto state = partition_state();
+  for (auto number = 1; number <= 600; ++number)
+    state.apply(number, publish("c", number, number % 2 ? topic : other_topic));
+  state.apply(601, elapse(13000));
+  LONGS_EQUAL(0, state.topics[topic].messages.size());
+  CHECK(state.check_sequence("c", topic, 1) == sequence_status::below_highest);
+  CHECK(state.apply(602, publish("c", 1)).empty());
+}
+
 TEST(partition_state_entries, a_duplicate_and_a_late_sequence_number_are_recognized) {
   auto state = partition_state();
   state.apply(1, publish("c", 5));
