--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -50,9 +50,8 @@
     visit_next_change();
 }
 
-auto store::sync() -> task<void> {
-  auto required = requested_;
-  while (durable_ < required) {
+auto store::sync_up_to(change_number last) -> task<void> {
+  while (!is_durable(last)) {
     if (failed_)
       throw request_error(errc::disk_failed, "the disk does not take writes", execution_outcome::unknown);
     if (!flushing_) {
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -84,6 +84,8 @@
 // returns. All syncs that are requested while a write is in progress share the next write (group commit).
 class store {
  public:
+  // Numbers the changes of one store object from 1 on, in the order in which they were made. 0 stands for no change.
+  using change_number = std::uint64_t;
   using visitor = std::function<void(const std::string& key, const std::string& value)>;
   explicit store(event_loop& loop) : loop_(loop), tasks_(loop) {}
   store(const store&) = delete;
@@ -94,9 +96,16 @@
   auto get(const std::string& key) -> std::optional<std::string>;
   // Visits all keys with the prefix in ascending order. Sees the same changes as `get`.
   auto scan(const std::string& prefix, const visitor& visit) -> void;
+  [[nodiscard]] auto newest_change() const -> change_number {
+    return requested_;
+  }
+  // Returns whether this change, and with it every earlier one, is durable.
+  [[nodiscard]] auto is_durable(change_number change) const -> bool {
+    return change <= durable_;
+  }
   // Returns whether every change is durable.
   [[nodiscard]] auto all_durable() const -> bool {
-    return durable_ == requested_;
+    return is_durable(requested_);
   }
   // Sets the value of a key. The change is durable after a `sync`.
   auto put(std::string key, std::string content) -> void {
@@ -112,7 +121,11 @@
   // Returns when all changes made before the call are durable. Throws request_error (errc::disk_failed) if a write
   // fails. The store keeps the changes of a failed write and retries them, before any later change, until the disk
   // accepts them. After that, syncs succeed again.
-  auto sync() -> task<void>;
+  auto sync() -> task<void> {
+    return sync_up_to(requested_);
+  }
+  // As `sync`, but returns as soon as the changes up to `last` are durable, whatever was changed after them.
+  auto sync_up_to(change_number last) -> task<void>;
   // Returns whether the last write failed.
   [[nodiscard]] auto failed() const -> bool {
     return failed_;
@@ -148,8 +161,8 @@
 
   std::vector<change> pending_;  // not passed to `write` yet
   std::vector<change> writing_;  // passed to `write`: in progress, or to be retried after a failure
-  std::uint64_t requested_ = 0;  // number of changes made
-  std::uint64_t durable_ = 0;    // number of changes, counted from the first, that are durable
+  change_number requested_ = 0;  // the newest change
+  change_number durable_ = 0;    // the newest change that is durable
   std::size_t pending_bytes_ = 0;
   bool flushing_ = false;  // `flush` is running
   bool failed_ = false;    // the last write failed
--- a/src/storage/partition.cpp
+++ b/src/storage/partition.cpp
@@ -142,16 +142,16 @@
                                           : state_.configuration_version;
 }
 
-// Syncs this node's disk. One sync covers all entries appended since the previous sync began. After each sync a primary
-// releases outputs and a backup sends an acknowledgement.
+// Syncs this node's disk up to the last entry. Entries become durable as well by syncs that other partitions request,
+// and no entry waits for changes that were made after it. After each sync a primary releases outputs and a backup sends
+// an acknowledgement.
 auto partition::flush_log() -> task<void> {
   while (true) {
     co_await wait_for_unsynced_entries();
     log_.clear_sync_urgency();
-    auto sync_start = log_.begin_sync();
     auto fault = std::string();
     try {
-      co_await disk_.sync();
+      co_await disk_.sync_up_to(log_.newest_change());
     } catch (const request_error& error) {
       fault = error.what();
     }
@@ -159,7 +159,7 @@
       co_await wait_for_disk_recovery(fault);
       continue;
     }
-    log_.finish_sync(sync_start);
+    log_.update_synced_index();
     if (role_ == replica_role::primary)
       release_outputs();
     else if (role_ == replica_role::backup)
--- a/src/storage/partition_backup.cpp
+++ b/src/storage/partition_backup.cpp
@@ -80,9 +80,8 @@
   record_.store_joined_epoch(request.epoch);
   if (request.truncate_to)
     truncate_log(*request.truncate_to);
-  auto sync_start = log_.begin_sync();
   co_await disk_.sync();
-  log_.finish_sync(sync_start);  // entries appended during the sync are not synced yet
+  log_.update_synced_index();
   co_return replica_join_reply{.last_index = last_index(),
                                .last_epoch = log_.epoch_at(last_index()),
                                .applied_index = applied_index_,
@@ -142,7 +141,7 @@
   if (followed_.epoch != epoch || role_ != replica_role::backup)
     throw request_error(errc::old_epoch, "the followed primary changed while the state copy was synced");
   is_damaged_ = false;
-  log_.mark_synced(log_.base_index());  // entries appended during the sync wait for the next sync
+  log_.update_synced_index();
 }
 
 auto partition::install_state(const partition_snapshot& snapshot) -> void {
--- a/src/storage/partition_log.cpp
+++ b/src/storage/partition_log.cpp
@@ -86,8 +86,9 @@
     if (index != ++expected)
       throw decode_error("log entry " + std::to_string(expected) + " is missing");
     auto stored = decode_replicated_entry(decode_with_checksum(record));
-    entries_.push_back({stored.epoch, stored.go_live_point, std::move(stored.payload), now});
+    entries_.push_back({stored.epoch, stored.go_live_point, std::move(stored.payload), now, disk_.newest_change()});
   });
+  base_change_ = disk_.newest_change();
   cost_since_snapshot_ = replication_cost(base_index_);
   synced_index_ = disk_.all_durable() ? last_index() : 0;  // entries that are only queued count after the next sync
 }
@@ -122,6 +123,7 @@
   auto index = last_index() + 1;
   auto stored = replicated_entry{new_entry.epoch, new_entry.go_live_point, new_entry.payload};
   disk_.put(entry_key(index), encode_with_checksum(encode(stored)));
+  new_entry.change = disk_.newest_change();
   if (!is_clock_advance(new_entry.payload))
     sync_is_urgent_ = true;
   cost_since_snapshot_ += cost_of(new_entry);
@@ -178,6 +180,7 @@
   cost_since_snapshot_ = replication_cost(applied_index);
   while (entries_.size() > entries_kept_in_memory && base_index_ < applied_index) {
     base_epoch_ = entries_.front().epoch;
+    base_change_ = entries_.front().change;
     entries_.pop_front();
     ++base_index_;
   }
@@ -196,7 +199,6 @@
     disk_.erase(key);
   for (auto i = trimmed_index_ + 1; i <= last_index(); ++i)
     disk_.erase(entry_key(i));
-  ++wipe_count_;
   entries_.clear();
   base_index_ = trimmed_index_ = synced_index_ = 0;
   base_epoch_ = 0;
@@ -207,6 +209,7 @@
   base_index_ = trimmed_index_ = snapshot.index;
   base_epoch_ = snapshot.epoch;
   write_snapshot(snapshot);
+  base_change_ = disk_.newest_change();
 }
 
 auto partition_log::write_snapshot(const partition_snapshot& snapshot) -> void {
@@ -215,15 +218,18 @@
   disk_.put(snapshot_key(), std::move(record));
 }
 
-auto partition_log::begin_sync() const -> sync_point {
-  return {.index = last_index(), .epoch = epoch_at(last_index()), .wipe_count = wipe_count_};
+auto partition_log::newest_change() const -> store::change_number {
+  return entries_.empty() ? base_change_ : entries_.back().change;
 }
 
-auto partition_log::finish_sync(const sync_point& sync_start) -> void {
-  auto is_unchanged = sync_start.wipe_count == wipe_count_ && sync_start.index <= last_index() &&
-                      epoch_at(sync_start.index) == sync_start.epoch;
-  if (is_unchanged)
-    mark_synced(sync_start.index);
+auto partition_log::update_synced_index() -> void {
+  if (synced_index_ < base_index_) {
+    if (!disk_.is_durable(base_change_))
+      return;
+    synced_index_ = base_index_;
+  }
+  while (synced_index_ < last_index() && disk_.is_durable(at(synced_index_ + 1).change))
+    ++synced_index_;
 }
 
 auto partition_log::mark_synced(entry_index index) -> void {
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -21,8 +21,7 @@
 [[nodiscard]] auto decode_partition_snapshot(const value& stored) -> partition_snapshot;  // throws decode_error
 
 // The log is owned by one partition and used only by the tasks of that partition. A write is queued on the disk
-// immediately. Entries count as synced only after the owner has called begin_sync, synced the disk and called
-// finish_sync.
+// immediately. Entries count as synced only after the disk has made them durable and update_synced_index was called.
 //
 // Invariants: base_index() <= last_index(); all entries above base_index() up to last_index() are in memory;
 // synced_index() <= last_index() after the log is loaded.
@@ -32,13 +31,8 @@
     partition_epoch epoch;
     bool go_live_point;  // whether this entry is the last of its operation (design 6.4)
     value payload;
-    monotonic_time appended_at;  // on this node's clock
-  };
-  // The end of the log at the time when a sync of the disk began.
-  struct sync_point {
-    entry_index index;
-    partition_epoch epoch;
-    std::int64_t wipe_count;
+    monotonic_time appended_at;       // on this node's clock
+    store::change_number change = 0;  // the change of the disk that stores this entry; set by the log
   };
 
   partition_log(store& disk, std::string partition_id);
@@ -114,11 +108,10 @@
   auto clear_sync_urgency() -> void {
     sync_is_urgent_ = false;
   }
-  // Returns the current end of the log for finish_sync.
-  [[nodiscard]] auto begin_sync() const -> sync_point;
-  // Marks the entries up to `sync_start` as durable after a sync of the disk, unless they were replaced during the
-  // sync.
-  auto finish_sync(const sync_point& sync_start) -> void;
+  // The change of the disk that stores the last entry. All entries are synced once it is durable.
+  [[nodiscard]] auto newest_change() const -> store::change_number;
+  // Marks the entries that the disk has made durable as synced, whoever requested the sync.
+  auto update_synced_index() -> void;
   auto mark_synced(entry_index index) -> void;
 
  private:
@@ -137,7 +130,7 @@
   std::size_t cost_since_snapshot_ = 0;
   entry_index trimmed_index_ = 0;  // the newest snapshot contains the entries up to this index
   entry_index synced_index_ = 0;
-  std::int64_t wipe_count_ = 0;  // a sync that began before a wipe does not cover entries appended after the wipe
+  store::change_number base_change_ = 0;  // stores the entry at base_index_, or a snapshot that contains it
   std::int64_t truncations_ = 0;
   bool sync_is_urgent_ = false;
 };
--- a/src/storage/partition_log_test.cpp
+++ b/src/storage/partition_log_test.cpp
@@ -8,14 +8,26 @@
 namespace {
 using namespace reachridge;
 
-// A simulated storage node with a disk. The log never waits, so the tests do not advance the clock.
+// A simulated storage node with a disk. Only the tests of writes advance the clock.
 struct disk_fixture {
   simulated_network network{1};
   sim_host host{network, network.machine_at("one", "z1"), true, 1};
+  task_group tasks{host};
 
   auto disk() -> store& {
     return *host.disk();
   }
+  // Begins a write of everything that is queued on the disk.
+  auto begin_write() -> void {
+    tasks.spawn([](store& written) -> task<void> {
+      co_await written.sync();
+    }(disk()));
+    network.run(network.clock + millisecond);
+  }
+  // Waits for the end of the write under way.
+  auto finish_write() -> void {
+    network.run(network.clock + host.own_machine.sync_cost * 2);
+  }
 };
 
 auto clock_entry(partition_epoch epoch, bool go_live_point) -> partition_log::entry {
@@ -87,26 +99,61 @@
   LONGS_EQUAL(1, log.synced_index());
 }
 
-TEST(partition_log, sync_covers_only_entries_appended_before_it_began) {
+TEST(partition_log, a_write_covers_only_entries_appended_before_it_began) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
   log.append(clock_entry(1, true));
-  auto sync_start = log.begin_sync();
+  fixture.begin_write();
   log.append(clock_entry(1, true));
-  log.finish_sync(sync_start);
+  log.update_synced_index();
+  LONGS_EQUAL(0, log.synced_index());
+  fixture.finish_write();
+  log.update_synced_index();
   LONGS_EQUAL(1, log.synced_index());
 }
 
-// After the wipe a different entry has the index that the sync covered.
-TEST(partition_log, sync_that_began_before_a_wipe_is_ignored) {
+// The disk makes the entries of all partitions durable with one write, whichever of them has requested it.
+TEST(partition_log, a_write_that_another_partition_requested_covers_the_entries) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  auto other = partition_log(fixture.disk(), "p/1");
+  other.append(clock_entry(1, true));
+  log.append(clock_entry(1, true));
+  log.append(clock_entry(1, true));
+  fixture.begin_write();
+  other.append(clock_entry(1, true));
+  fixture.finish_write();
+  CHECK(fixture.disk().is_durable(log.newest_change()));
+  CHECK_FALSE(fixture.disk().is_durable(other.newest_change()));
+  log.update_synced_index();
+  LONGS_EQUAL(2, log.synced_index());
+}
+
+// After the wipe a different entry has the index of an entry that the write covered.
+TEST(partition_log, a_write_that_began_before_a_wipe_covers_no_later_entry) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
   log.append(clock_entry(1, true));
-  auto sync_start = log.begin_sync();
+  fixture.begin_write();
   log.wipe();
   log.append(clock_entry(1, true));
-  log.finish_sync(sync_start);
+  fixture.finish_write();
+  log.update_synced_index();
+  LONGS_EQUAL(0, log.synced_index());
+}
+
+// A log that was restarted from a snapshot is synced up to the snapshot once the snapshot is durable.
+TEST(partition_log, entries_below_a_snapshot_are_synced_with_it) {
+  auto fixture = disk_fixture();
+  auto log = partition_log(fixture.disk(), "p/0");
+  log.restart_from({.index = 7, .epoch = 2, .state = object{{"some", "state"}}});
+  log.update_synced_index();
   LONGS_EQUAL(0, log.synced_index());
+  fixture.begin_write();
+  log.append(clock_entry(2, true));
+  fixture.finish_write();
+  log.update_synced_index();
+  LONGS_EQUAL(7, log.synced_index());
 }
 
 TEST(partition_log, snapshot_replaces_entries_on_disk_and_keeps_the_newest_in_memory) {
@@ -192,17 +239,18 @@
   LONGS_EQUAL(2, reloaded.epoch_at(3));
 }
 
-// The entry that a sync covered has the same index as a later one of another epoch.
-TEST(partition_log, sync_that_began_before_a_truncation_covers_no_later_entry) {
+// An entry that the write covered has the same index as a later one of another epoch.
+TEST(partition_log, a_write_that_began_before_a_truncation_covers_no_later_entry) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
   log.append(clock_entry(1, true));
   log.append(clock_entry(1, true));
-  auto sync_start = log.begin_sync();
+  fixture.begin_write();
   log.truncate_to(1);
   log.append(clock_entry(2, true));
-  log.finish_sync(sync_start);
-  LONGS_EQUAL(0, log.synced_index());
+  fixture.finish_write();
+  log.update_synced_index();
+  LONGS_EQUAL(1, log.synced_index());
 }
 
 TEST(partition_log, only_common_entries_after_the_snapshot_can_be_truncated_to) {
--- a/tools/simulator/store_test.cpp
+++ b/tools/simulator/store_test.cpp
@@ -40,6 +40,32 @@
   }
 }
 
+// Guards against a sync that waits for changes which were made after those that it was called for.
+TEST(simulated_disk, a_sync_up_to_a_change_does_not_wait_for_later_changes) {
+  auto simulation = simulated_network(1);
+  auto& node_machine = simulation.machine_at("one", "z1");
+  auto host = sim_host(simulation, node_machine, true, 1);
+  auto tasks = task_group(host);
+  auto& disk = *host.disk();
+  auto synced = false;
+  auto sync_up_to = [](store& written, store::change_number change, bool& done) -> task<void> {
+    co_await written.sync_up_to(change);
+    done = true;
+  };
+  disk.put("a", "1");
+  const auto first = disk.newest_change();
+  auto ignored = false;
+  tasks.spawn(sync_up_to(disk, first, ignored));
+  simulation.run(simulation.clock + millisecond);
+  disk.put("b", "2");
+  tasks.spawn(sync_up_to(disk, first, synced));
+  simulation.run(simulation.clock + node_machine.sync_cost * 3 / 2);
+  CHECK(synced);
+  LONGS_EQUAL(1, disk.syncs);
+  CHECK(disk.is_durable(first));
+  CHECK_FALSE(disk.all_durable());
+}
+
 // Guards against a storage node that offers a copy again after its removal. After removing its copies a storage node
 // writes nothing else, so it may be asked to join a partition before the removals are synced.
 TEST(simulated_disk, a_removed_copy_is_not_offered_again) {
