--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -84,8 +84,10 @@
   bytes += pending_bytes_;
   pending_bytes_ = 0;
   ++syncs;
+  auto began_at = loop_.now();
   try {
     co_await write(writing_);
+    write_times.add(loop_.now() - began_at);
     durable_ = written_up_to;
     writing_.clear();
     failed_ = false;
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "runtime/duration_statistics.hpp"
 #include "runtime/event_loop.hpp"
 #include "runtime/task.hpp"
 #include "runtime/value.hpp"
@@ -130,8 +131,9 @@
   [[nodiscard]] auto failed() const -> bool {
     return failed_;
   }
-  std::uint64_t syncs = 0;  // number of synced writes, including failed ones
-  std::uint64_t bytes = 0;  // total size of the keys and values passed to `put` and then to the disk
+  std::uint64_t syncs = 0;          // number of synced writes, including failed ones
+  duration_statistics write_times;  // of successful synced writes
+  std::uint64_t bytes = 0;          // total size of the keys and values passed to `put` and then to the disk
 
  protected:
   struct change {
--- a/src/storage/partition.hpp
+++ b/src/storage/partition.hpp
@@ -34,7 +34,8 @@
   const reachridge::settings& settings;
   control_session& session;
   std::function<peer_connection&(const std::string& address)> peer_connection_to;
-  std::function<bool()> is_leaving;  // whether this storage node is shutting down
+  std::function<bool()> is_leaving;    // whether this storage node is shutting down
+  duration_statistics& release_times;  // from the append of an entry to the release of its outputs
 };
 
 // A replica is idle, a backup or the primary. All its tasks run on the storage node's event loop, so no other task
@@ -152,6 +153,11 @@
     std::int64_t log_index;
     std::variant<std::monostate, output, deferred_reply, deferred_refusal, position_refusal> action;
   };
+  // The subscriptions that were refused since the last report because messages that they lack have expired.
+  struct refused_resumes {
+    std::int64_t count = 0;
+    message_position last_expired_position = 0;
+  };
   // Identifies a publish by its client, topic and sequence number.
   using publish_key = std::pair<std::string, std::pair<std::string, sequence_number>>;
 
@@ -188,6 +194,8 @@
   // Whether the partition retains messages but no backup is responsive.
   [[nodiscard]] auto is_unreplicated() const -> bool;
   auto release_outputs() -> void;
+  auto note_release(entry_index index, monotonic_time now) -> void;
+  auto report_expired_resumes() -> void;
   auto dispatch_output(pending_output& pending) -> void;
   auto send_output(message_position log_index, const publish_accepted& accepted) -> void;
   auto send_output(message_position log_index, const message_delivery& delivery) -> void;
@@ -350,6 +358,7 @@
   std::deque<pending_output> pending_outputs_;  // in log order
   // The last entry with a released output. A replica without this entry must not be in the in-sync set.
   entry_index released_index_ = 0;
+  refused_resumes expired_resumes_;
   std::map<publish_key, std::vector<pending_reply_ptr>> waiting_publishes_;
   std::map<std::string, subscriber> subscribers_;             // by subscription id
   std::map<std::string, monotonic_time> disconnected_since_;  // by id of a subscription without a gateway connection
--- a/src/storage/partition_replicas.cpp
+++ b/src/storage/partition_replicas.cpp
@@ -144,6 +144,7 @@
   remove_former_replicas();
   note_lost_disks();
   close_expired_subscriptions();
+  report_expired_resumes();
   for (const auto& backup : assignment_.backups())
     start_replication(backup);
   adjust_admission();
--- a/src/storage/partition_requests.cpp
+++ b/src/storage/partition_requests.cpp
@@ -33,14 +33,24 @@
   if (role_ != replica_role::primary)
     return;
   const auto durable_index = releasable_index();
+  const auto now = host_.now();
   while (!pending_outputs_.empty() && pending_outputs_.front().log_index <= durable_index) {
     auto pending = std::move(pending_outputs_.front());
     pending_outputs_.pop_front();
-    released_index_ = std::max(released_index_, pending.log_index);
+    note_release(pending.log_index, now);
     dispatch_output(pending);
   }
 }
 
+// The entries of an operation are released together, each with several outputs.
+auto partition::note_release(entry_index index, monotonic_time now) -> void {
+  if (index <= released_index_)
+    return;
+  released_index_ = index;
+  if (index > log_.base_index())
+    context_.release_times.add(now - log_.at(index).appended_at);
+}
+
 auto partition::dispatch_output(pending_output& pending) -> void {
   if (auto* deferred = std::get_if<deferred_reply>(&pending.action)) {
     deferred->reply_to->succeed(std::move(deferred->reply));
@@ -103,9 +113,21 @@
 }
 
 auto partition::send_output(message_position log_index, const resume_expired& expired) -> void {
+  ++expired_resumes_.count;
+  expired_resumes_.last_expired_position = expired.expired_position;
   send_refusal(log_index, expired.subscription_id, subscribe_result::expired, expired.expired_position);
 }
 
+// Logs how many subscriptions could not be resumed since the last report. The refusals are final for the clients.
+auto partition::report_expired_resumes() -> void {
+  const auto refused = std::exchange(expired_resumes_, {});
+  if (refused.count > 0)
+    log_info("refused " + std::to_string(refused.count) +
+             " subscriptions from expired positions; the last one lacks messages up to position " +
+             std::to_string(refused.last_expired_position) + ", which are no longer held (retention " +
+             std::to_string(state_.retention_ms) + " ms)");
+}
+
 auto partition::send_refusal(message_position log_index, const std::string& subscription_id, subscribe_result reason,
                              message_position position) -> void {
   auto it = find_subscriber(subscription_id, log_index);
--- a/src/storage/storage_node.cpp
+++ b/src/storage/storage_node.cpp
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr auto node_kind = "comb";  // the kind in the node descriptors of storage nodes
+constexpr auto write_report_interval = 10 * second;
+constexpr auto slow_write = 10 * millisecond;  // mean time of a write above which a disk is reported as slow
+
+auto in_microseconds(const duration_report& report) -> value {
+  return object{{"count", report.count}, {"mean_us", report.mean}, {"longest_us", report.longest}};
+}
 
 }  // namespace
 
@@ -35,6 +41,7 @@
   start_listening();
   tasks_.spawn(run_commands());
   tasks_.spawn(maintain_partitions());
+  tasks_.spawn(report_slow_writes());
 }
 storage_node::~storage_node() = default;
 
@@ -113,7 +120,10 @@
   leaving_since_ = host_.now();
   session.self.stopping = true;
   session.self.ready = false;
-  reachridge::log(log_level::info, settings_.name, "shutting down: handing over partitions");
+  reachridge::log(log_level::info, settings_.name,
+                  "shutting down: handing over partitions; " + std::to_string(assigned_partitions().size()) +
+                      " count on its disk, for " + std::to_string(partitions_to_replace().size()) +
+                      " of them another node can take its replica");
   auto leads_partition = [this] {
     return std::any_of(partitions_.begin(), partitions_.end(), [](const auto& replica) {
       return replica.second->is_primary();
@@ -122,15 +132,27 @@
   while (host_.now() < limit && (leads_partition() || !partitions_to_replace().empty()))
     co_await sleep_for(host_, settings_.heartbeat_interval / 4);
   report_unreplaced();
+  reachridge::log(log_level::info, settings_.name,
+                  "shut down after " + std::to_string((host_.now() - leaving_since_) / millisecond) + " ms; " +
+                      std::to_string(assigned_partitions().size()) + " partitions still count on its disk");
   co_await session.leave(std::min(limit, host_.now() + settings_.heartbeat_interval));
 }
 
 // A process that gets SIGTERM cannot know whether its disk comes back. Until other nodes have taken its replicas, it is
 // one of the disks that the tolerated losses count on.
 auto storage_node::partitions_to_replace() const -> std::vector<std::string> {
+  auto out = assigned_partitions();
+  std::erase_if(out, [this](const auto& id) {
+    return !can_be_replaced(session.view.partitions.at(id));
+  });
+  return out;
+}
+
+// The partitions whose committed assignments, as far as this node knows them, name this node's disk.
+auto storage_node::assigned_partitions() const -> std::vector<std::string> {
   auto out = std::vector<std::string>();
   for (const auto& [id, assignment] : session.view.partitions)
-    if (assignment.has_member(session.self.member()) && can_be_replaced(assignment))
+    if (assignment.has_member(session.self.member()))
       out.push_back(id);
   return out;
 }
@@ -159,6 +181,20 @@
                       ids.front() + ": no other node has taken its replicas in time");
 }
 
+// Logs how long the disk and the replication take while the disk is slow. Both bound the rate at which a client that
+// waits for answers can publish.
+auto storage_node::report_slow_writes() -> task<void> {
+  while (true) {
+    co_await sleep_for(host_, write_report_interval);
+    auto writes = host_.disk()->write_times.end_period();
+    auto releases = release_times_.end_period();
+    if (writes.mean >= slow_write)
+      reachridge::log(log_level::info, settings_.name,
+                      "slow disk: a synced write took " + writes.to_text() +
+                          "; an output waited for the disks of all in-sync replicas " + releases.to_text());
+  }
+}
+
 auto storage_node::held_partition(const std::string& id) const -> const partition* {
   auto it = partitions_.find(id);
   return it == partitions_.end() ? nullptr : it->second.get();
@@ -180,6 +216,8 @@
                 {"worked", commands_run_},
                 {"syncs", disk->syncs},
                 {"bytes", disk->bytes},
+                {"write_times", in_microseconds(disk->write_times.last_report())},
+                {"release_times", in_microseconds(release_times_.last_report())},
                 {"disk_fails", disk->failed()}};
 }
 
--- a/src/storage/storage_node.hpp
+++ b/src/storage/storage_node.hpp
@@ -77,9 +77,11 @@
   [[nodiscard]] auto find_partition(const std::string& id) -> partition*;
   [[nodiscard]] auto total_load() const -> std::int64_t;
   [[nodiscard]] auto served_version() const -> std::int64_t;
+  [[nodiscard]] auto assigned_partitions() const -> std::vector<std::string>;
   [[nodiscard]] auto partitions_to_replace() const -> std::vector<std::string>;
   [[nodiscard]] auto can_be_replaced(const partition_assignment& assignment) const -> bool;
   auto report_unreplaced() const -> void;
+  auto report_slow_writes() -> task<void>;
   auto probe_process(std::string name) -> task<void>;
   auto notify_process_gone(const std::string& name) -> void;
 
@@ -95,6 +97,7 @@
   bool leaving_ = false;
   monotonic_time leaving_since_ = never;
   std::uint64_t commands_run_ = 0;
+  duration_statistics release_times_;  // of all partitions that this node leads
   task_group tasks_;
 };
 
--- a/src/storage/storage_node_partitions.cpp
+++ b/src/storage/storage_node_partitions.cpp
@@ -90,7 +90,8 @@
     auto leaving = [this] {
       return leaving_;
     };
-    replica = std::make_unique<partition>(partition_context{host_, settings_, session, peer_at, leaving}, id);
+    replica =
+        std::make_unique<partition>(partition_context{host_, settings_, session, peer_at, leaving, release_times_}, id);
   }
   return *replica;
 }
