--- a/src/runtime/event_loop.hpp
+++ b/src/runtime/event_loop.hpp
@@ -1,8 +1,8 @@
 // The event loop with its clock, timers and ready list, and the awaitables that suspend a coroutine (design 3.1).
 //
-// A coroutine waits with `co_await sleep_for(…)`, `co_await sleep_until(…)` or `co_await some_signal.wait(…)`. The loop
-// resumes every waiting coroutine; a coroutine never resumes a waiting coroutine directly. This module may be used only
-// on the thread of the loop.
+// A coroutine waits with `co_await sleep_for(…)`, `co_await sleep_until(…)`, `co_await until_idle(…)` or `co_await
+// some_signal.wait(…)`. The loop resumes every waiting coroutine; a coroutine never resumes a waiting coroutine
+// directly. This module may be used only on the thread of the loop.
 #pragma once
 #include <boost/intrusive/list.hpp>
 #include <coroutine>
@@ -24,8 +24,9 @@
 
 class event_loop;
 
-// Represents one suspended coroutine. A waker is linked in at most one list (the waiters of a signal or the ready list
-// of the loop) and has at most one timer. The destructor removes the waker from its list and cancels the timer.
+// Represents one suspended coroutine. A waker is linked in at most one list (the waiters of a signal, the ready list or
+// the idle list of the loop) and has at most one timer. The destructor removes the waker from its list and cancels the
+// timer.
 class waker : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   explicit waker(event_loop& loop) : owner(loop) {}
@@ -52,7 +53,8 @@
 
 using waker_list = boost::intrusive::list<waker, boost::intrusive::constant_time_size<false>>;
 
-// Owns the ready list and the timers. A host derives from this class, provides the clock and calls `step`.
+// Owns the ready list, the idle list and the timers. A host derives from this class, provides the clock and calls
+// `step`.
 class event_loop {
  public:
   event_loop() = default;
@@ -61,9 +63,12 @@
   virtual ~event_loop() = default;
   [[nodiscard]] virtual auto now() const -> monotonic_time = 0;
 
-  // Fires the timers that are due, then resumes one ready coroutine. Returns false if no coroutine was ready.
+  // Fires the timers that are due, then resumes one coroutine: a ready one or, if none is ready, one that waits for the
+  // loop to be idle. Returns false if there was none.
   auto step() -> bool {
     fire_timers();
+    if (ready_.empty() && !idle_.empty())
+      idle_.front().wake(false);
     if (ready_.empty())
       return false;
     auto& ready = ready_.front();
@@ -74,7 +79,7 @@
   // Returns the time of the next work: `now` if a coroutine is ready, else the time of the earliest timer, or `never`
   // if there is no timer.
   [[nodiscard]] auto next() const -> monotonic_time {
-    if (!ready_.empty())
+    if (!ready_.empty() || !idle_.empty())
       return now();
     return timers_.empty() ? never : timers_.begin()->first;
   }
@@ -97,11 +102,13 @@
 
  private:
   friend class waker;
+  friend class until_idle;
   auto fire_timers() -> void {
     while (!timers_.empty() && timers_.begin()->first <= now())
       timers_.begin()->second->wake(true);
   }
   waker_list ready_;
+  waker_list idle_;  // resumed when no coroutine is ready
   std::multimap<monotonic_time, waker*> timers_;
 };
 
@@ -151,6 +158,27 @@
   return {loop, loop.now() + span};
 }
 
+// Awaitable that resumes the coroutine after all coroutines that are ready, and those that they make ready, at the
+// latest after a time span.
+class until_idle {
+ public:
+  until_idle(event_loop& loop, monotonic_time longest_wait) : waker_(loop), deadline_(loop.now() + longest_wait) {}
+  [[nodiscard]] auto await_ready() const -> bool {
+    return false;
+  }
+  auto await_suspend(std::coroutine_handle<> awaiting) -> void {
+    waker_.handle = awaiting;
+    waker_.owner.idle_.push_back(waker_);
+    waker_.arm(deadline_);
+    waker_.owner.schedule_changed();
+  }
+  auto await_resume() const -> void {}
+
+ private:
+  waker waker_;
+  monotonic_time deadline_;
+};
+
 // Wakes the coroutines that wait for a change of some state, like a condition variable. The signal carries no data: a
 // woken coroutine must check the state itself.
 class signal {
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr auto retry_delay = 250 * millisecond;  // delay between a failed write and its retry
+constexpr auto max_write_delay = millisecond;    // a busy loop delays a write by at most this time
 
 }  // namespace
 
@@ -56,7 +57,7 @@
       throw request_error(errc::disk_failed, "the disk does not take writes", execution_outcome::unknown);
     if (!flushing_) {
       flushing_ = true;
-      tasks_.spawn(flush());  // starts at the next turn, so that other syncs of this turn share the write
+      tasks_.spawn(flush());
     }
     co_await flushed_.wait(loop_);
   }
@@ -64,6 +65,7 @@
 
 // The store's task group owns this task, because the caller of `sync` may be destroyed during the write.
 auto store::flush() -> task<void> {
+  co_await collect_changes();
   while (true) {
     auto written = co_await write_pending();
     if (written)
@@ -75,6 +77,11 @@
   flushed_.wake();
 }
 
+// Requests that arrived together are handled before a write begins, so that their changes share it.
+auto store::collect_changes() -> task<void> {
+  co_await until_idle(loop_, max_write_delay);
+}
+
 auto store::write_pending() -> task<bool> {
   // The changes of a failed write stay first, because no later change may become durable before them.
   for (auto& change : pending_)
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -158,6 +158,8 @@
   [[nodiscard]] auto newest_pending(const std::string& prefix) const -> pending_changes;
   // Retries `write_pending` until it succeeds.
   auto flush() -> task<void>;
+  // Waits for the changes that share the next write.
+  auto collect_changes() -> task<void>;
   // Writes all changes that are not durable yet. Returns false if the disk refused the write.
   auto write_pending() -> task<bool>;
 
--- a/tools/simulator/store_test.cpp
+++ b/tools/simulator/store_test.cpp
@@ -66,6 +66,47 @@
   CHECK_FALSE(disk.all_durable());
 }
 
+namespace {
+// Makes one change and waits until it is durable, as each request of a node does.
+auto change_and_sync(store& disk, std::string key, int& synced) -> task<void> {
+  disk.put(std::move(key), "content");
+  co_await disk.sync();
+  ++synced;
+}
+// Handles `count` requests one after the other, with other tasks in between, at an interval.
+auto handle_requests(sim_host& host, task_group& tasks, int count, monotonic_time interval, int& synced) -> task<void> {
+  for (auto i = 0; i < count; ++i) {
+    tasks.spawn(change_and_sync(*host.disk(), std::to_string(i), synced));
+    co_await sleep_for(host, interval);
+  }
+}
+// The number of writes that make the changes of requests durable which arrive at an interval after an earlier write.
+auto writes_for_requests(monotonic_time sync_cost, monotonic_time interval) -> std::uint64_t {
+  constexpr auto count = 5;
+  auto simulation = simulated_network(1);
+  auto& node_machine = simulation.machine_at("one", "z1");
+  node_machine.sync_cost = sync_cost;
+  auto host = sim_host(simulation, node_machine, true, 1);
+  host.step_cost = 0;
+  auto tasks = task_group(host);
+  auto synced = 0;
+  tasks.spawn(change_and_sync(*host.disk(), "first", synced));
+  simulation.run(simulation.clock + 2 * sync_cost);
+  LONGS_EQUAL(1, synced);
+  const auto writes_before = host.disk()->syncs;
+  tasks.spawn(handle_requests(host, tasks, count, interval, synced));
+  simulation.run(simulation.clock + 10 * sync_cost);
+  LONGS_EQUAL(1 + count, synced);
+  return host.disk()->syncs - writes_before;
+}
+}  // namespace
+
+// Guards against a write that begins with the first of several requests that have arrived together: the others then
+// wait for a second write.
+TEST(simulated_disk, requests_that_arrived_together_share_a_write) {
+  LONGS_EQUAL(1, writes_for_requests(2 * millisecond, 0));
+}
+
 // Guards against a storage node that offers a copy again after its removal. After removing its copies a storage node
 // writes nothing else, so it may be asked to join a partition before the removals are synced.
 TEST(simulated_disk, a_removed_copy_is_not_offered_again) {
