--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -1,5 +1,7 @@
 #include "runtime/host.hpp"
 
+#include <algorithm>
+
 #include "runtime/request_error.hpp"
 
 namespace reachridge {
@@ -7,6 +9,10 @@
 
 constexpr auto retry_delay = 250 * millisecond;  // delay between a failed write and its retry
 constexpr auto max_write_delay = millisecond;    // a busy loop delays a write by at most this time
+// On a slow disk, changes are collected for a fixed share of the time of a write before the write begins.
+constexpr auto slow_write = 10 * millisecond;  // the disk is slow if its last write took this time or longer
+constexpr auto collection_share = 16;
+constexpr auto longest_collection = 4 * millisecond;
 
 }  // namespace
 
@@ -77,9 +83,12 @@
   flushed_.wake();
 }
 
-// Requests that arrived together are handled before a write begins, so that their changes share it.
+// Requests that arrived together are handled before a write begins, so that their changes share it. What misses a write
+// on a slow disk waits almost two writes, so more changes are collected there, also those that other nodes send.
 auto store::collect_changes() -> task<void> {
   co_await until_idle(loop_, max_write_delay);
+  if (last_write_time_ >= slow_write)
+    co_await sleep_for(loop_, std::min(last_write_time_ / collection_share, longest_collection));
 }
 
 auto store::write_pending() -> task<bool> {
@@ -94,7 +103,8 @@
   auto began_at = loop_.now();
   try {
     co_await write(writing_);
-    write_times.add(loop_.now() - began_at);
+    last_write_time_ = loop_.now() - began_at;
+    write_times.add(last_write_time_);
     durable_ = written_up_to;
     writing_.clear();
     failed_ = false;
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -172,8 +172,9 @@
   change_number requested_ = 0;  // the newest change
   change_number durable_ = 0;    // the newest change that is durable
   std::size_t pending_bytes_ = 0;
-  bool flushing_ = false;  // `flush` is running
-  bool failed_ = false;    // the last write failed
+  monotonic_time last_write_time_ = 0;  // of the last successful write
+  bool flushing_ = false;               // `flush` is running
+  bool failed_ = false;                 // the last write failed
   signal flushed_;
   task_group tasks_;
 };
--- a/tools/simulator/store_test.cpp
+++ b/tools/simulator/store_test.cpp
@@ -107,6 +107,14 @@
   LONGS_EQUAL(1, writes_for_requests(2 * millisecond, 0));
 }
 
+// On a slow disk, a request that arrives shortly after the first one shares its write. On a fast disk the write has
+// begun.
+TEST(simulated_disk, a_slow_disk_collects_changes_before_a_write) {
+  constexpr auto interval = 100;
+  LONGS_EQUAL(1, writes_for_requests(30 * millisecond, interval));
+  CHECK_COMPARE(writes_for_requests(2 * millisecond, interval), >, 1);
+}
+
 // Guards against a storage node that offers a copy again after its removal. After removing its copies a storage node
 // writes nothing else, so it may be asked to join a partition before the removals are synced.
 TEST(simulated_disk, a_removed_copy_is_not_offered_again) {
