The durable store has a header of its own (no change of behaviour)

Cause: runtime/host.hpp held streams, listeners, the store and the host, and host.cpp nothing but the store.

Measured: 456 unit tests build; real_net, group_commit, duration_statistics, simulated_disk and partition_log pass (run); formatter and linter are clean on the changed files (run).

--- a/src/runtime/leveldb_store.hpp
+++ b/src/runtime/leveldb_store.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "runtime/host.hpp"
+#include "runtime/store.hpp"
 #include "runtime/worker_thread.hpp"
 
 namespace reachridge {
--- a/src/runtime/host.cpp
+++ b/src/runtime/store.cpp
@@ -1,4 +1,4 @@
-#include "runtime/host.hpp"
+#include "runtime/store.hpp"
 
 #include <algorithm>
 
--- a/src/storage/partition_log.hpp
+++ b/src/storage/partition_log.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "runtime/host.hpp"
+#include "runtime/store.hpp"
 #include "runtime/value.hpp"
 #include "storage/replication_messages.hpp"
 
--- a/src/storage/partition_log_test.cpp
+++ b/src/storage/partition_log_test.cpp
@@ -34,6 +34,11 @@
   return {epoch, go_live_point, object{{"k", "c"}, {"d", 1}}, 0};
 }
 
+auto append_until_snapshot_is_due(partition_log& log) -> void {
+  while (!log.snapshot_is_due())
+    log.append(clock_entry(1, true));
+}
+
 auto urgent_entry() -> partition_log::entry {
   return {1, true, object{{"k", "v"}, {"e", 1}, {"m", "n/d"}}, 0};
 }
@@ -159,8 +164,7 @@
 TEST(partition_log, snapshot_replaces_entries_on_disk_and_keeps_the_newest_in_memory) {
   auto fixture = disk_fixture();
   auto log = partition_log(fixture.disk(), "p/0");
-  while (!log.snapshot_is_due())
-    log.append(clock_entry(1, true));
+  append_until_snapshot_is_due(log);
   auto last = log.last_index();
   log.store_snapshot(last, object{{"some", "state"}});
   LONGS_EQUAL(last, log.last_index());
@@ -185,13 +189,11 @@
   constexpr auto state_bytes = std::size_t{2} << 20;
   log.append(clock_entry(1, true));
   log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
-  while (!log.snapshot_is_due())
-    log.append(clock_entry(1, true));
+  append_until_snapshot_is_due(log);
   CHECK(log.replication_cost(1) >= state_bytes);
   log.store_snapshot(log.last_index(), object{{"some", "state"}});
   auto entries_before = log.last_index();
-  while (!log.snapshot_is_due())
-    log.append(clock_entry(1, true));
+  append_until_snapshot_is_due(log);
   CHECK(log.last_index() - entries_before <= 2048);
 }
 
@@ -201,8 +203,7 @@
   constexpr auto state_bytes = std::size_t{32} << 20;
   log.append(clock_entry(1, true));
   log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
-  while (!log.snapshot_is_due())
-    log.append(clock_entry(1, true));
+  append_until_snapshot_is_due(log);
   CHECK(log.last_index() - log.base_index() <= 8192);
 }
 
@@ -212,8 +213,7 @@
   constexpr auto state_bytes = std::size_t{2} << 20;
   log.append(clock_entry(1, true));
   log.store_snapshot(log.last_index(), object{{"some", std::string(state_bytes, 's')}});
-  while (!log.snapshot_is_due())
-    log.append(clock_entry(1, true));
+  append_until_snapshot_is_due(log);
 
   auto reloaded = partition_log(fixture.disk(), "p/0");
   CHECK(reloaded.load_snapshot().has_value());
